--- /dev/null
+++ b/crates/flintwell-core/src/interface.rs
@@ -0,0 +1,159 @@
+//! Types between the decision module and whoever hosts it: ids, settings, outcomes and the host's calls.
+
+use std::sync::Arc;
+
+/// Whole microseconds: an instant on the host's clock, or a span.
+pub type Micros = i64;
+pub type AccessId = Arc<str>;
+pub type NodeId = Arc<str>;
+pub type Key = Arc<str>;
+
+/// What the module may do. Each call takes effect at the instant the module was told of.
+pub trait Host {
+    /// Starts a hand-off; `allow_for` is its time-out.
+    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros);
+    /// Final answer: turned away, trying again is harmless; `stay_away` is advice, 0 for none.
+    fn turn_back(&mut self, access: &AccessId, stay_away: Micros);
+    /// Final answer: nothing is promised about the effect.
+    fn break_off(&mut self, access: &AccessId);
+    /// Asks for a call of `timer` with this label at or after `at`.
+    fn wake_at(&mut self, label: u64, at: Micros);
+    /// Subscribes to changes of the list.
+    fn watch_list(&mut self);
+    /// Sends a short message to every peer.
+    fn tell_all(&mut self, body: &str);
+    /// Leaves a line in the host's log.
+    fn note(&mut self, line: &str);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Replayable,
+    Referenced,
+    SingleUse,
+}
+
+/// Which cache nodes drop repeats of a referenced access.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct UseCase {
+    pub effect: Effect,
+    pub group: Group,
+    pub memory: Micros,
+    pub goal_time: Micros,
+    /// The goal time grows by this many times the access's own work.
+    pub goal_stretch: f64,
+    /// Share of the earnings still paid after the goal time.
+    pub late_share: f64,
+    pub earnings: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub use_cases: Vec<UseCase>,
+    /// Accesses a second within each tenant's share, over all proxies.
+    pub quotas: Vec<f64>,
+    /// True where a cache node that lacks a key says so and the proxy asks the origin.
+    pub aside: bool,
+    pub origin_kind: Option<u32>,
+    pub index: u32,
+    pub fleet_size: u32,
+    pub max_hand_offs: usize,
+    pub peer_messages: bool,
+    /// Longest advice to stay away that clients heed; 0 where advice does not reach them.
+    pub max_stay_away: Micros,
+    /// True where the list answers only when asked.
+    pub list_on_request: bool,
+    pub ask_within: Micros,
+    /// True where the list's sizes are the registered ones, exact or rough.
+    pub sizes_declared: bool,
+    pub start_capacity: f64,
+    pub ramp_time: Micros,
+    /// How long a cold node can be pushed before it falls.
+    pub fall: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only the entries that changed.
+    Changes,
+    Whole,
+    /// The whole list as this instance last had it, maybe old.
+    Kept,
+    /// A call failed or the subscription broke; the old list stands.
+    Failed,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub node: NodeId,
+    pub zone: u32,
+    pub kind: u32,
+    pub cell: u32,
+    pub standing: Standing,
+    pub size: f64,
+    /// Its last start; 0 for long ago.
+    pub started_at: Micros,
+}
+
+/// An access as it arrives.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: AccessId,
+    pub use_case: usize,
+    pub tenant: usize,
+    pub key: Option<Key>,
+    pub outer_limit: Micros,
+    /// Expected work on a standard core, where hinted.
+    pub work: Option<Micros>,
+    pub write: bool,
+}
+
+/// How a hand-off ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Honoured,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    CalledOff,
+    NotSent,
+    Miss,
+    /// A code this version does not know: it may have run.
+    Unknown,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent | Self::Miss)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    pub number: usize,
+    pub ending: Ending,
+    pub wait: Micros,
+    /// The access is over, by this outcome or before it.
+    pub settled: bool,
+    /// A miss while this cache node has told another access to fetch the key.
+    pub fetch_elsewhere: bool,
+    /// Accesses waiting at the node, where it tells.
+    pub waiting: Option<f64>,
+}
--- /dev/null
+++ b/crates/flintwell-core/src/lib.rs
@@ -0,0 +1,5 @@
+//! The core of flintwell: `interface` holds the types, `policy` every decision.
+#![forbid(unsafe_code)]
+
+pub mod interface;
+pub mod policy;
--- /dev/null
+++ b/crates/flintwell-core/src/policy.rs
@@ -0,0 +1,856 @@
+//! Every decision of flintwell.
+//!
+//! For the caller: the interface (settings, ids, outcomes, the `Host` to be handed in) is defined in
+//! `interface.rs`. Make one `Policy` per instance with `Policy::start`, then call one method for each thing
+//! that happens, with the host's clock, which never goes back. The module answers by calling the host; it
+//! keeps no clock, does no I/O and shares nothing with other instances.
+
+use crate::interface::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, VecDeque};
+
+const SLOTS: usize = 1024; // slots; some 50 or more a node, so that shares are even and a rebuild stays cheap
+const RANKS: usize = 4; // nodes a slot ranks: home, spare and two more for when those are out
+const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
+const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
+const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
+const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
+const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
+const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
+const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
+const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
+const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
+const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
+const FETCH_LIMIT_FIRST: f64 = 8.0; // fetches out; start value, before the origin's answers teach better
+const FETCH_LIMIT_MOST: f64 = 64.0; // fetches out; bounds what a quiet spell can teach
+const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before the limit falls
+const FETCH_CUT: f64 = 0.8; // factor on the limit when the origin shows strain, once an answer time
+const BEST_DRIFT: f64 = 1.01; // growth of the best known time an answer, so that an old best is forgotten
+const PAUSE_SHARE: f64 = 0.5; // of the origin's mean: pause before a fetch is tried once more
+const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
+const TURNS_SHARE: f64 = 0.25; // of the ramp time: how long proxies take turns at a fresh node
+const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
+const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
+const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
+const TELL_EVERY: Micros = 1_000_000; // us; between reports of our arrivals to peers, where shares need them
+const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
+const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
+const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses in flight at a node beyond which surplus ones are turned back
+const WAKE: u64 = 0; // the one timer label
+
+/// One hand-off.
+struct HandOff {
+    node: usize,
+    sent_at: Micros,
+    ending: Option<Ending>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Role {
+    Plain,
+    Following,
+    /// In the queue before the origin.
+    Queued,
+    /// Waiting a moment before another fetch.
+    Pausing,
+}
+
+/// One access, until its final answer.
+struct Access {
+    use_case: usize,
+    key: Key,
+    write: bool,
+    arrived: Micros,
+    outer_limit: Micros,
+    /// Past this an answer earns nothing.
+    useful_until: Micros,
+    hand_offs: Vec<HandOff>,
+    /// The cache node that missed last.
+    missed_at: Option<usize>,
+    role: Role,
+    due: Option<(Micros, u64)>,
+}
+
+/// One cache node or the origin, as long as this instance lives.
+#[derive(Default)]
+struct Node {
+    id: NodeId,
+    zone: u32,
+    kind: u32,
+    cell: u32,
+    standing: Standing,
+    size: f64,
+    started_at: Micros,
+    in_flight: u32,
+    heard_at: Micros,
+    strikes: u32,
+    skip_until: Micros,
+    /// Accesses sent to it, and taken by it, lately.
+    sent: Pace,
+    taken: Pace,
+}
+
+/// A key with a fetch out, or (through mode) served lately.
+struct Join {
+    leader: Option<AccessId>,
+    node: usize,
+    followers: Vec<AccessId>,
+    served_at: Micros,
+}
+
+/// Times of answers: mean and mean deviation.
+struct Times {
+    mean: f64,
+    deviation: f64,
+}
+
+impl Times {
+    fn learn(&mut self, wait: Micros) {
+        let off = wait as f64 - self.mean;
+        self.mean += SMOOTHING * off;
+        self.deviation += SMOOTHING * (off.abs() - self.deviation);
+    }
+    fn expected(&self) -> Micros {
+        self.mean as Micros
+    }
+    fn overdue(&self) -> Micros {
+        (self.mean + PATIENCE * self.deviation) as Micros
+    }
+}
+
+/// A count that decays over a given time.
+#[derive(Default, Clone, Copy)]
+struct Pace {
+    count: f64,
+    at: Micros,
+}
+
+impl Pace {
+    fn now(&self, now: Micros, fade: Micros) -> f64 {
+        self.count * (-((now - self.at) as f64) / fade.max(1) as f64).exp()
+    }
+    fn add(&mut self, now: Micros, fade: Micros) {
+        *self = Pace { count: self.now(now, fade) + 1.0, at: now };
+    }
+}
+
+/// A tenant's arrivals here and its allowance.
+struct Tenant {
+    arrivals: u32,
+    part: f64,
+    allowance: f64,
+    filled_at: Micros,
+}
+
+/// One instance of the decision module.
+pub struct Policy<H: Host> {
+    host: H,
+    rng: ChaCha8Rng,
+    settings: Settings,
+    accesses: FxHashMap<AccessId, Access>,
+    held: BTreeMap<(Micros, u64), AccessId>,
+    held_count: u64,
+    queue: VecDeque<AccessId>,
+    joins: FxHashMap<Key, Join>,
+    served_order: VecDeque<(Micros, Key)>,
+    nodes: Vec<Node>,
+    by_id: FxHashMap<NodeId, usize>,
+    slots: Vec<[u16; RANKS]>,
+    ready_caches: usize,
+    in_flight: u32,
+    cache_times: Times,
+    origin: Option<usize>,
+    origin_times: Times,
+    origin_best: f64,
+    fetch_limit: f64,
+    limit_cut_at: Micros,
+    tenants: Vec<Tenant>,
+    peers: BTreeMap<u32, (Micros, Vec<u32>)>,
+    tell_at: Micros,
+    list_due: Option<Micros>,
+    list_failures: u32,
+    next_wake: Micros,
+}
+
+const NOBODY: u16 = u16::MAX; // a slot rank without a node
+
+/// Spreads a hash's bits (splitmix64's finaliser), alike on every machine.
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn hash(text: &str) -> u64 {
+    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
+}
+
+/// A number in (0, 1) from a hash.
+fn unit(h: u64) -> f64 {
+    ((h >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+impl<H: Host> Policy<H> {
+    /// A fresh instance; the kept list follows by `list`.
+    pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
+        let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
+        let guess = || Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
+        let part = 1.0 / f64::from(settings.fleet_size.max(1));
+        let tenants = settings.quotas.iter().map(|quota| Tenant {
+            arrivals: 0,
+            part,
+            allowance: quota * part,
+            filled_at: now,
+        });
+        Policy {
+            host,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            tenants: tenants.collect(),
+            tell_at: if settings.quotas.is_empty() || !settings.peer_messages { Micros::MAX } else { now },
+            list_due: settings.list_on_request.then_some(now),
+            settings,
+            accesses: FxHashMap::default(),
+            held: BTreeMap::new(),
+            held_count: 0,
+            queue: VecDeque::new(),
+            joins: FxHashMap::default(),
+            served_order: VecDeque::new(),
+            nodes: Vec::new(),
+            by_id: FxHashMap::default(),
+            slots: Vec::new(),
+            ready_caches: 0,
+            in_flight: 0,
+            cache_times: guess(),
+            origin: None,
+            origin_times: guess(),
+            origin_best: f64::MAX,
+            fetch_limit: FETCH_LIMIT_FIRST,
+            limit_cut_at: now,
+            peers: BTreeMap::new(),
+            list_failures: 0,
+            next_wake: Micros::MAX,
+        }
+    }
+
+    /// A client's access arrives.
+    pub fn access_arrives(&mut self, now: Micros, arrival: Arrival) {
+        let Some(case) = self.settings.use_cases.get(arrival.use_case) else {
+            return self.host.break_off(&arrival.id);
+        };
+        let stretch = case.goal_stretch * arrival.work.unwrap_or(0) as f64;
+        let goal = (now + case.goal_time + stretch as Micros).min(arrival.outer_limit);
+        let id = arrival.id;
+        let access = Access {
+            use_case: arrival.use_case,
+            key: arrival.key.unwrap_or_else(|| id.clone()),
+            write: arrival.write,
+            arrived: now,
+            outer_limit: arrival.outer_limit,
+            useful_until: if case.late_share > 0.0 { arrival.outer_limit } else { goal },
+            hand_offs: Vec::new(),
+            missed_at: None,
+            role: Role::Plain,
+            due: None,
+        };
+        let (key, write) = (access.key.clone(), access.write);
+        self.accesses.insert(id.clone(), access);
+        if self.surplus(now, arrival.tenant) && !self.idle_home(now, &id) {
+            return self.give_up(now, &id);
+        }
+        if write {
+            self.write_passes(now, &id, &key);
+        } else if self.settings.aside {
+            self.to_cache(now, &id);
+        } else {
+            self.read_through(now, &id, key);
+        }
+    }
+
+    /// A hand-off ended.
+    pub fn outcome(&mut self, now: Micros, id: &AccessId, node: &NodeId, outcome: Outcome) {
+        let Some(&node) = self.by_id.get(node) else { return };
+        self.observe(now, node, &outcome);
+        let mut known = false;
+        if let Some(access) = self.accesses.get_mut(id)
+            && let Some(hand_off) = access.hand_offs.get_mut(outcome.number)
+        {
+            known = hand_off.ending.replace(outcome.ending).is_none();
+        }
+        if !known {
+            // The access is over already, but the origin's answer may make room for a queued fetch.
+        } else if outcome.settled {
+            self.finish(now, id, outcome.ending == Ending::Honoured, node);
+        } else if outcome.ending == Ending::Miss {
+            self.missed(now, id, node, outcome.fetch_elsewhere);
+        } else {
+            self.after_failure(now, id, node);
+        }
+        if Some(node) == self.origin {
+            self.fetch_queued(now);
+        }
+        self.arm();
+    }
+
+    /// The answer to an access has begun to stream: it is the client's now.
+    pub fn stream_begins(&mut self, now: Micros, id: &AccessId, node: &NodeId) {
+        if let Some(&node) = self.by_id.get(node) {
+            self.finish(now, id, true, node);
+            self.arm();
+        }
+    }
+
+    /// The client has left, or the access is over otherwise; nothing more is owed.
+    pub fn access_gone(&mut self, now: Micros, id: &AccessId) {
+        if let Some(access) = self.accesses.get(id) {
+            let node = access.missed_at.unwrap_or(0);
+            self.finish(now, id, false, node);
+            self.arm();
+        }
+    }
+
+    /// The list, or a part of it.
+    pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
+        if kind == ListKind::Failed {
+            let wait = LIST_RETRY << self.list_failures.min(LIST_RETRY_MOST);
+            self.list_failures += 1;
+            // Danger: all instances calling at once, and again at once, keep the list service overbooked.
+            let jitter = self.rng.random_range(0.5..1.5);
+            self.list_due = self.settings.list_on_request.then_some(now + (wait as f64 * jitter) as Micros);
+            return self.arm();
+        }
+        if kind != ListKind::Kept && self.settings.list_on_request {
+            self.list_failures = 0;
+            self.list_due = None;
+        }
+        if kind != ListKind::Changes {
+            for node in &mut self.nodes {
+                node.standing = Standing::Gone;
+            }
+        }
+        for entry in entries {
+            self.enter(entry);
+        }
+        self.origin = (0..self.nodes.len()).find(|&n| {
+            self.settings.origin_kind == Some(self.nodes[n].kind) && self.nodes[n].standing == Standing::Ready
+        });
+        self.build_slots();
+        self.upkeep(now);
+    }
+
+    /// A probe's answer. The module sends no probes.
+    pub fn probe_result(&mut self, _now: Micros, _node: &NodeId, _ending: Ending) {}
+
+    /// A peer's report of its arrivals, one count for each tenant.
+    pub fn peer_message(&mut self, now: Micros, peer: u32, body: &str) {
+        let Some(counts) = body.strip_prefix("a ") else { return };
+        let counts: Vec<u32> = counts.split(',').map_while(|n| n.parse().ok()).collect();
+        if counts.len() == self.tenants.len() {
+            self.peers.insert(peer, (now, counts));
+        }
+    }
+
+    /// A timer is due.
+    pub fn timer(&mut self, now: Micros, label: u64) {
+        if label == WAKE && now >= self.next_wake {
+            self.next_wake = Micros::MAX;
+            self.upkeep(now);
+        }
+    }
+
+    // ---- the table: a home and a spare for each key ----
+
+    fn enter(&mut self, entry: Entry) {
+        let n = *self.by_id.entry(entry.node.clone()).or_insert(self.nodes.len());
+        if n == self.nodes.len() {
+            self.nodes.push(Node { id: entry.node, started_at: entry.started_at, ..Node::default() });
+        }
+        let node = &mut self.nodes[n];
+        if entry.started_at != node.started_at {
+            // Danger: a node that came back looks like the old one by its id, but is empty and cold.
+            node.started_at = entry.started_at;
+            (node.strikes, node.skip_until, node.sent) = (0, 0, Pace::default());
+        }
+        node.standing = entry.standing;
+        (node.zone, node.kind, node.cell) = (entry.zone, entry.kind, entry.cell);
+        node.size = if self.settings.sizes_declared && entry.size > 0.0 { entry.size } else { 1.0 };
+    }
+
+    /// Rendezvous by slot: a change of members moves only the keys of the node that came or went.
+    fn build_slots(&mut self) {
+        let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
+        ready.sort_by(|&a, &b| self.nodes[a].id.cmp(&self.nodes[b].id));
+        self.ready_caches = ready.len();
+        let seeds: Vec<(usize, u64, f64)> =
+            ready.iter().map(|&n| (n, hash(&self.nodes[n].id), self.nodes[n].size)).collect();
+        let mut ranked: Vec<(f64, usize)> = Vec::with_capacity(ready.len());
+        self.slots.clear();
+        for slot in 0..SLOTS as u64 {
+            ranked.clear();
+            ranked.extend(seeds.iter().map(|&(n, h, size)| (-unit(mix(h ^ mix(slot + 1))).ln() / size, n)));
+            ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut ranks = [NOBODY; RANKS];
+            for (rank, &(_, n)) in ranks.iter_mut().zip(&ranked) {
+                *rank = n as u16;
+            }
+            self.slots.push(ranks);
+        }
+    }
+
+    fn is_cache(&self, n: usize) -> bool {
+        self.nodes[n].standing == Standing::Ready && self.settings.origin_kind != Some(self.nodes[n].kind)
+    }
+
+    /// Share of its capacity that a node surely has.
+    fn warmth(&self, now: Micros, n: usize) -> f64 {
+        let age = now - self.nodes[n].started_at;
+        if self.nodes[n].started_at <= 0 || age >= self.settings.ramp_time {
+            return 1.0;
+        }
+        let start = self.settings.start_capacity;
+        start + (1.0 - start) * age.max(0) as f64 / self.settings.ramp_time as f64
+    }
+
+    /// Whether a cache node may get an access of this slot now.
+    fn takes(&self, now: Micros, n: usize, slot: usize) -> bool {
+        let node = &self.nodes[n];
+        if !self.is_cache(n) || now < node.skip_until {
+            return false;
+        }
+        // Danger: a node that comes back wrongly trusted swallows a burst; risk one access at a time.
+        if node.strikes > 0 && node.in_flight > 0 {
+            return false;
+        }
+        let warmth = self.warmth(now, n);
+        warmth >= 1.0 || self.cold_takes(now, n, slot, warmth)
+    }
+
+    /// Danger: a cold node gets the full load of its keys, or the origin all its misses at once. It gets keys
+    /// slot by slot as it warms, in the proxies' turns while fresh, and never above what warm nodes take.
+    fn cold_takes(&self, now: Micros, n: usize, slot: usize, warmth: f64) -> bool {
+        let node = &self.nodes[n];
+        let fresh = now - node.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
+        let turn = (now / TURN) as u64 % u64::from(self.settings.fleet_size.max(1));
+        if unit(mix(hash(&node.id) ^ slot as u64)) > warmth || fresh && turn != u64::from(self.settings.index)
+        {
+            return false;
+        }
+        let (mut taken, mut size) = (0.0, 0.0);
+        for warm in (0..self.nodes.len()).filter(|&o| self.is_cache(o) && self.warmth(now, o) >= 1.0) {
+            // Danger: in an overload warm nodes are sent far more than they can do, and misses cost them little;
+            // only what they honoured tells what a node like them can do.
+            taken += self.nodes[warm].taken.now(now, self.settings.fall);
+            size += self.nodes[warm].size;
+        }
+        let fair = if size > 0.0 { taken / size } else { 0.0 };
+        node.sent.now(now, self.settings.fall) < fair * node.size * warmth + COLD_SLACK
+    }
+
+    fn slot(key: &str) -> usize {
+        hash(key) as usize % SLOTS
+    }
+
+    /// The home, or the spare when the home has more than its part of our own accesses in flight.
+    fn choose(&self, now: Micros, access: &Access) -> Option<usize> {
+        let slot = Self::slot(&access.key);
+        let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
+        let ranks = self.slots.get(slot)?.iter().filter(|&&n| n != NOBODY).map(|&n| n as usize);
+        let mut open = ranks.filter(|&n| !tried(n) && self.takes(now, n, slot));
+        let home = open.next()?;
+        let load = self.nodes[home].in_flight;
+        let mean = f64::from(self.in_flight) / self.ready_caches.max(1) as f64;
+        if load < SPILL_FLOOR || f64::from(load) <= SPILL_FACTOR * mean {
+            return Some(home);
+        }
+        Some(open.next().filter(|&spare| self.nodes[spare].in_flight < load).unwrap_or(home))
+    }
+
+    // ---- reads and writes ----
+
+    fn to_cache(&mut self, now: Micros, id: &AccessId) {
+        let Some(access) = self.accesses.get(id) else { return };
+        match self.choose(now, access) {
+            Some(node) => self.hand_off(now, id, node),
+            None if self.settings.aside && !access.write => self.fetch(now, id),
+            None => self.give_up(now, id),
+        }
+    }
+
+    /// Writes pass at once; they end the key's join and served window. Those held join the fetch made after.
+    fn write_passes(&mut self, now: Micros, id: &AccessId, key: &Key) {
+        let ended = self.joins.remove(key);
+        match self.origin {
+            Some(origin) if self.settings.aside => self.hand_off(now, id, origin),
+            None if self.settings.aside => self.give_up(now, id),
+            _ => self.to_cache(now, id),
+        }
+        if let Some(join) = ended {
+            for follower in join.followers {
+                self.unhold(&follower);
+                if self.settings.aside {
+                    self.missed(now, &follower, join.node, false);
+                } else {
+                    self.read_through(now, &follower, key.clone());
+                }
+            }
+        }
+    }
+
+    fn read_through(&mut self, now: Micros, id: &AccessId, key: Key) {
+        match self.joins.get(&key) {
+            Some(join) if join.leader.is_some() => self.follow(now, id, key),
+            Some(join) if now - join.served_at < SERVED_WINDOW => self.to_cache(now, id),
+            _ => {
+                let node = self.accesses.get(id).and_then(|a| self.choose(now, a));
+                if let Some(node) = node {
+                    self.lead(id, key, node);
+                }
+                self.to_cache(now, id);
+            }
+        }
+    }
+
+    /// Aside mode: the first miss leads, later ones follow.
+    fn missed(&mut self, now: Micros, id: &AccessId, node: usize, _fetch_elsewhere: bool) {
+        let Some(access) = self.accesses.get_mut(id) else { return };
+        access.missed_at = Some(node);
+        let key = access.key.clone();
+        if access.write || !self.settings.aside {
+            return self.after_failure(now, id, node);
+        }
+        if self.joins.get(&key).is_some_and(|j| j.leader.is_some()) {
+            return self.follow(now, id, key);
+        }
+        self.lead(id, key, node);
+        self.fetch(now, id);
+    }
+
+    fn lead(&mut self, id: &AccessId, key: Key, node: usize) {
+        if self.joins.len() < MAX_KEYS {
+            let join =
+                Join { leader: Some(id.clone()), node, followers: Vec::new(), served_at: Micros::MIN / 2 };
+            self.joins.insert(key, join);
+        }
+    }
+
+    /// Holds the access until the leader is done, or goes alone with half of its useful time left.
+    fn follow(&mut self, now: Micros, id: &AccessId, key: Key) {
+        let Some(access) = self.accesses.get(id) else { return };
+        let release = access.arrived + (access.useful_until - access.arrived) / 2;
+        if release <= now {
+            return self.alone(now, id);
+        }
+        if let Some(join) = self.joins.get_mut(&key) {
+            join.followers.push(id.clone());
+            self.hold(id, Role::Following, release);
+        }
+    }
+
+    fn alone(&mut self, now: Micros, id: &AccessId) {
+        if self.settings.aside { self.fetch(now, id) } else { self.to_cache(now, id) }
+    }
+
+    /// A fetch at the origin, now or when one of those out has ended.
+    fn fetch(&mut self, now: Micros, id: &AccessId) {
+        let Some(origin) = self.origin else { return self.give_up(now, id) };
+        let Some(access) = self.accesses.get(id) else { return };
+        let (until, expected) = (access.useful_until, self.origin_times.expected());
+        if f64::from(self.nodes[origin].in_flight) < self.fetch_limit {
+            return self.hand_off(now, id, origin);
+        }
+        let ahead = (self.queue.len() + 1) as f64 / self.fetch_limit;
+        if now + expected + (expected as f64 * ahead) as Micros > until {
+            return self.give_up(now, id);
+        }
+        self.queue.push_back(id.clone());
+        self.hold(id, Role::Queued, until - expected);
+    }
+
+    fn fetch_queued(&mut self, now: Micros) {
+        while let Some(origin) = self.origin
+            && f64::from(self.nodes[origin].in_flight) < self.fetch_limit
+            && let Some(id) = self.queue.pop_front()
+        {
+            if self.accesses.get(&id).is_some_and(|a| a.role == Role::Queued) {
+                self.unhold(&id);
+                self.hand_off(now, &id, origin);
+            }
+        }
+    }
+
+    /// A hand-off failed otherwise than by a miss.
+    fn after_failure(&mut self, now: Micros, id: &AccessId, node: usize) {
+        let Some(access) = self.accesses.get(id) else { return };
+        let at_origin = Some(node) == self.origin;
+        if !at_origin {
+            return self.to_cache(now, id);
+        }
+        let pause = (self.origin_times.mean * PAUSE_SHARE * self.rng.random_range(0.5..1.5)) as Micros;
+        if now + pause + self.origin_times.expected() >= access.useful_until
+            || !self.may_hand_off(now, access, node)
+        {
+            return self.give_up(now, id);
+        }
+        // Danger: an origin in trouble gets each failed fetch again at once, and never recovers.
+        self.hold(id, Role::Pausing, now + pause);
+    }
+
+    // ---- the rules, checked at one place just before a hand-off or a turn-back ----
+
+    fn may_hand_off(&self, now: Micros, access: &Access, n: usize) -> bool {
+        let case = &self.settings.use_cases[access.use_case];
+        let node = &self.nodes[n];
+        if access.hand_offs.len() >= self.settings.max_hand_offs
+            || node.standing != Standing::Ready
+            || now >= access.outer_limit
+            || access.hand_offs.iter().any(|h| h.ending.is_none())
+        {
+            return false;
+        }
+        let Some(first) = access.hand_offs.iter().find(|h| h.ending.is_some_and(|e| !e.never_ran())) else {
+            return true;
+        };
+        let earlier = &self.nodes[first.node];
+        match case.effect {
+            Effect::Replayable => true,
+            Effect::SingleUse => false,
+            Effect::Referenced => {
+                now < first.sent_at + case.memory
+                    && match case.group {
+                        Group::All => true,
+                        Group::Zone => node.zone == earlier.zone,
+                        Group::Cell => node.cell == earlier.cell,
+                    }
+            }
+        }
+    }
+
+    fn may_turn_back(&self, now: Micros, access: &Access) -> bool {
+        let case = &self.settings.use_cases[access.use_case];
+        let ran = access.hand_offs.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()));
+        match (case.effect, ran) {
+            (Effect::Replayable, _) | (_, None) => true,
+            (Effect::SingleUse, _) => false,
+            (Effect::Referenced, Some(first)) => {
+                case.group == Group::All && first.ending.is_some() && now < first.sent_at + case.memory
+            }
+        }
+    }
+
+    fn hand_off(&mut self, now: Micros, id: &AccessId, n: usize) {
+        let Some(access) = self.accesses.get(id) else { return };
+        let at_origin = Some(n) == self.origin;
+        let times = if at_origin { &self.origin_times } else { &self.cache_times };
+        let left = access.useful_until - now;
+        let again = !access.hand_offs.is_empty();
+        // A further hand-off only if the time left exceeds what it is expected to take.
+        if !self.may_hand_off(now, access, n) || again && left <= times.expected() || left <= 0 {
+            return self.give_up(now, id);
+        }
+        let goal = self.settings.use_cases[access.use_case].goal_time as f64;
+        let patience = times.overdue().max((goal * PATIENCE_FLOOR) as Micros);
+        let allow_for = if at_origin || access.write { left } else { patience.min(left) };
+        let node = &mut self.nodes[n];
+        node.sent.add(now, self.settings.fall);
+        node.in_flight += 1;
+        if !at_origin {
+            self.in_flight += 1;
+        }
+        self.host.hand_off(id, &node.id, allow_for);
+        if let Some(access) = self.accesses.get_mut(id) {
+            access.hand_offs.push(HandOff { node: n, sent_at: now, ending: None });
+        }
+    }
+
+    fn give_up(&mut self, now: Micros, id: &AccessId) {
+        let Some(access) = self.accesses.get(id) else { return };
+        if self.may_turn_back(now, access) {
+            self.host.turn_back(id, STAY_AWAY.min(self.settings.max_stay_away));
+        } else {
+            self.host.break_off(id);
+        }
+        self.finish(now, id, false, 0);
+    }
+
+    /// The access is over; where it led, its followers go to its cache, or each alone.
+    fn finish(&mut self, now: Micros, id: &AccessId, honoured: bool, node: usize) {
+        self.unhold(id);
+        let Some(access) = self.accesses.remove(id) else { return };
+        let node = access.missed_at.unwrap_or(node);
+        let leads = self.joins.get(&access.key).is_some_and(|j| j.leader.as_ref() == Some(id));
+        if !leads {
+            return;
+        }
+        let Some(mut join) = self.joins.remove(&access.key) else { return };
+        let followers = std::mem::take(&mut join.followers);
+        if honoured && !self.settings.aside {
+            self.served_order.push_back((now, access.key.clone()));
+            self.joins.insert(access.key, Join { leader: None, node, served_at: now, ..join });
+        }
+        for follower in followers {
+            self.unhold(&follower);
+            if honoured && self.is_cache(node) {
+                self.hand_off(now, &follower, node);
+            } else {
+                self.alone(now, &follower);
+            }
+        }
+    }
+
+    // ---- what is held, and the one timer ----
+
+    fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
+        if let Some(access) = self.accesses.get_mut(id) {
+            self.held_count += 1;
+            access.role = role;
+            access.due = Some((until, self.held_count));
+            self.held.insert((until, self.held_count), id.clone());
+        }
+        self.arm();
+    }
+
+    fn unhold(&mut self, id: &AccessId) {
+        if let Some(access) = self.accesses.get_mut(id) {
+            access.role = Role::Plain;
+            if let Some(due) = access.due.take() {
+                self.held.remove(&due);
+            }
+        }
+    }
+
+    fn arm(&mut self) {
+        let held = self.held.first_key_value().map_or(Micros::MAX, |(&(at, _), _)| at);
+        let at = held.min(self.tell_at).min(self.list_due.unwrap_or(Micros::MAX));
+        if at < self.next_wake {
+            self.next_wake = at;
+            self.host.wake_at(WAKE, at);
+        }
+    }
+
+    fn upkeep(&mut self, now: Micros) {
+        while let Some((&(at, _), id)) = self.held.first_key_value()
+            && at <= now
+        {
+            let id = id.clone();
+            let role = self.accesses.get(&id).map_or(Role::Plain, |a| a.role);
+            self.unhold(&id);
+            match role {
+                Role::Following | Role::Pausing => self.alone(now, &id),
+                _ => self.give_up(now, &id),
+            }
+        }
+        while let Some((at, key)) = self.served_order.front()
+            && now - at >= SERVED_WINDOW
+        {
+            if self.joins.get(key).is_some_and(|j| j.leader.is_none() && j.served_at <= *at) {
+                self.joins.remove(key);
+            }
+            self.served_order.pop_front();
+        }
+        if self.list_due.is_some_and(|at| at <= now) {
+            self.host.watch_list();
+            // Should no answer come, ask anew before what is listed counts as told.
+            self.list_due = Some(now + self.settings.ask_within / 2);
+        }
+        if self.tell_at <= now {
+            self.tell_at = now + TELL_EVERY;
+            self.share_quotas(now);
+        }
+        self.arm();
+    }
+
+    // ---- what is learned ----
+
+    fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome) {
+        let at_origin = Some(n) == self.origin;
+        let is_cache = self.settings.origin_kind != Some(self.nodes[n].kind);
+        if is_cache {
+            self.in_flight = self.in_flight.saturating_sub(1);
+        }
+        let node = &mut self.nodes[n];
+        node.in_flight = node.in_flight.saturating_sub(1);
+        let sent_at = now - outcome.wait;
+        if outcome.ending == Ending::Honoured {
+            node.taken.add(now, self.settings.fall);
+        }
+        match outcome.ending {
+            Ending::Honoured | Ending::Miss | Ending::Full | Ending::Error => {
+                node.heard_at = now;
+                node.strikes = 0;
+                node.skip_until = 0;
+            }
+            // Danger: a node that takes accesses and answers none; skipped here only, the table stands.
+            Ending::TimedOut | Ending::Reset | Ending::ConnectFailed if node.heard_at <= sent_at => {
+                node.skip_until = now + (SKIP_FIRST << node.strikes.min(SKIP_DOUBLINGS));
+                node.strikes += 1;
+            }
+            _ => {}
+        }
+        if is_cache && matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
+            self.cache_times.learn(outcome.wait);
+        } else if at_origin {
+            self.learn_origin(now, outcome);
+        }
+    }
+
+    /// The limit on fetches out grows while the origin answers near its best and falls when it strains.
+    fn learn_origin(&mut self, now: Micros, outcome: &Outcome) {
+        let wait = outcome.wait.max(1);
+        if outcome.ending == Ending::Honoured {
+            self.origin_times.learn(wait);
+            self.origin_best = (self.origin_best * BEST_DRIFT).min(self.origin_times.mean).min(f64::MAX);
+        }
+        let strained = match outcome.ending {
+            Ending::Honoured => self.origin_times.mean > FETCH_SLOW * self.origin_best,
+            Ending::Miss | Ending::CalledOff | Ending::NotSent => return,
+            _ => true,
+        };
+        if !strained {
+            self.fetch_limit = (self.fetch_limit + 1.0 / self.fetch_limit).min(FETCH_LIMIT_MOST);
+        } else if now - self.limit_cut_at >= self.origin_times.expected() {
+            self.limit_cut_at = now;
+            self.fetch_limit = (self.fetch_limit * FETCH_CUT).max(1.0);
+        }
+    }
+
+    // ---- fair shares ----
+
+    /// Whether this arrival lies beyond its tenant's share, as far as this proxy's part of it goes.
+    fn surplus(&mut self, now: Micros, tenant: usize) -> bool {
+        let Some(quota) = self.settings.quotas.get(tenant) else { return false };
+        let Some(t) = self.tenants.get_mut(tenant) else { return false };
+        t.arrivals += 1;
+        let rate = quota * t.part;
+        t.allowance = (t.allowance + rate * (now - t.filled_at) as f64 / 1e6).min(rate.max(1.0));
+        t.filled_at = now;
+        let within = t.allowance >= 1.0;
+        if within {
+            t.allowance -= 1.0;
+        }
+        !within
+    }
+
+    /// Surplus accesses get only what would idle otherwise.
+    fn idle_home(&self, now: Micros, id: &AccessId) -> bool {
+        let node = self.accesses.get(id).and_then(|a| self.choose(now, a));
+        node.is_some_and(|n| self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
+    }
+
+    /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
+    fn share_quotas(&mut self, now: Micros) {
+        self.peers.retain(|_, (at, _)| now - *at < TELL_STALE);
+        let counts: Vec<String> = self.tenants.iter().map(|t| t.arrivals.to_string()).collect();
+        self.host.tell_all(&format!("a {}", counts.join(",")));
+        let fleet = f64::from(self.settings.fleet_size.max(1));
+        for (i, tenant) in self.tenants.iter_mut().enumerate() {
+            let own = f64::from(tenant.arrivals);
+            let theirs: f64 = self.peers.values().map(|(_, c)| f64::from(c[i])).sum();
+            let part = if own + theirs > 0.0 { own / (own + theirs) } else { 1.0 / fleet };
+            if !self.peers.is_empty() {
+                tenant.part += SMOOTHING * 3.0 * (part - tenant.part);
+            }
+            tenant.arrivals = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintwell-simhost/src/main.rs
@@ -0,0 +1,38 @@
+//! The bench's wire: decodes what happens, calls the instance's decision module, writes what it answers.
+
+mod settings;
+mod wire;
+
+use std::io::{BufRead, Write};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let (mut input, mut output) = (std::io::stdin().lock(), std::io::stdout().lock());
+    let mut proxies = wire::Proxies::default();
+    let mut line = Vec::new();
+    let mut number = 0u64;
+    loop {
+        line.clear();
+        number += 1;
+        match input.read_until(b'\n', &mut line) {
+            Ok(0) => return ExitCode::SUCCESS,
+            Ok(_) => {}
+            Err(error) => return stop(number, &error),
+        }
+        if line.trim_ascii().is_empty() {
+            continue;
+        }
+        let reply = match proxies.batch(&line) {
+            Ok(reply) => reply,
+            Err(error) => return stop(number, &error),
+        };
+        if let Err(error) = output.write_all(&reply).and_then(|()| output.flush()) {
+            return stop(number, &error);
+        }
+    }
+}
+
+fn stop(number: u64, error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("flintwell-simhost: line {number}: {error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/flintwell-simhost/src/settings.rs
@@ -0,0 +1,68 @@
+//! Decodes an instance's settings; what is not read is skipped.
+
+use flintwell_core::interface::{Effect, Group, Micros, Settings, UseCase};
+use serde_json::Value;
+
+pub fn micros(seconds: f64) -> Micros {
+    (seconds * 1e6).round() as Micros
+}
+
+fn number(value: &Value, path: &str) -> Option<f64> {
+    value.pointer(path).and_then(Value::as_f64)
+}
+
+fn text<'a>(value: &'a Value, path: &str) -> Option<&'a str> {
+    value.pointer(path).and_then(Value::as_str)
+}
+
+fn flag(value: &Value, path: &str) -> bool {
+    value.pointer(path).and_then(Value::as_bool).unwrap_or(false)
+}
+
+fn list<'a>(value: &'a Value, path: &str) -> &'a [Value] {
+    value.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+fn use_case(value: &Value) -> Result<UseCase, String> {
+    let span = |name: &str| number(value, name).map(micros);
+    let need = |name: &str| span(name).ok_or_else(|| format!("conf: use_cases needs {}", &name[1..]));
+    Ok(UseCase {
+        // An effect or a group that is not known is taken for the strictest.
+        effect: match text(value, "/effect") {
+            Some("safe") => Effect::Replayable,
+            Some("keyed") => Effect::Referenced,
+            _ => Effect::SingleUse,
+        },
+        group: match text(value, "/group") {
+            Some("all") => Group::All,
+            Some("zone") => Group::Zone,
+            _ => Group::Cell,
+        },
+        memory: span("/key_ttl").unwrap_or(0),
+        goal_time: need("/goal_time")?,
+        goal_stretch: number(value, "/aim_stretch").unwrap_or(0.0),
+        late_share: number(value, "/overdue_earnings").unwrap_or(0.0),
+        earnings: number(value, "/earnings").unwrap_or(1.0),
+    })
+}
+
+pub fn decode(conf: &Value) -> Result<Settings, String> {
+    let span = |path: &str| number(conf, path).map_or(0, micros);
+    Ok(Settings {
+        use_cases: list(conf, "/use_cases").iter().map(use_case).collect::<Result<_, _>>()?,
+        quotas: list(conf, "/realms").iter().map(|r| number(r, "/quota_rps").unwrap_or(f64::MAX)).collect(),
+        aside: text(conf, "/specifics/mode") == Some("aside"),
+        origin_kind: number(conf, "/specifics/origin_kind").filter(|&k| k >= 0.0).map(|k| k as u32),
+        index: number(conf, "/index").unwrap_or(0.0) as u32,
+        fleet_size: number(conf, "/fleet_size").unwrap_or(1.0) as u32,
+        max_hand_offs: number(conf, "/limits/max_hand_offs").unwrap_or(1.0) as usize,
+        peer_messages: flag(conf, "/limits/peer_messages"),
+        max_stay_away: if flag(conf, "/limits/retry_after") { span("/limits/max_retry_after") } else { 0 },
+        list_on_request: text(conf, "/discovery") == Some("on_request"),
+        ask_within: number(conf, "/guarantees/ask_within").map_or(10_000_000, micros),
+        sizes_declared: matches!(text(conf, "/weights"), Some("nominal" | "rough")),
+        start_capacity: number(conf, "/guarantees/start_capacity").unwrap_or(1.0),
+        ramp_time: span("/guarantees/ramp_time"),
+        fall: span("/guarantees/fall"),
+    })
+}
--- /dev/null
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -0,0 +1,388 @@
+//! Reads each event by position straight into a call, and writes each answer straight into the reply.
+
+use crate::settings::{decode, micros};
+use flintwell_core::interface::{
+    AccessId, Arrival, Ending, Entry, Host, Key, ListKind, Micros, NodeId, Outcome, Standing,
+};
+use flintwell_core::policy::Policy;
+use serde::Deserialize;
+use serde::de::{DeserializeSeed, Error, IgnoredAny, SeqAccess, Visitor};
+use serde_json::Value;
+use serde_json::value::RawValue;
+use std::borrow::Cow;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+
+const WRITE_MARK: u64 = 4;
+const EVENTS: [&str; 10] = [
+    "begin",
+    "shutdown",
+    "targets",
+    "incoming",
+    "answer",
+    "begun",
+    "sampled",
+    "datagram",
+    "timeout_fired",
+    "vanished",
+];
+
+type Reply = Rc<RefCell<Vec<u8>>>;
+
+/// One instance's way to answer.
+struct SimHost {
+    instance: u64,
+    reply: Reply,
+}
+
+fn push_number(reply: &mut Vec<u8>, number: impl itoa::Integer) {
+    reply.extend_from_slice(itoa::Buffer::new().format(number).as_bytes());
+}
+
+fn push_text(reply: &mut Vec<u8>, text: &str) {
+    // Writing to a Vec cannot fail.
+    let _ = serde_json::to_writer(&mut *reply, text);
+}
+
+/// Microseconds as seconds with six places.
+fn push_seconds(reply: &mut Vec<u8>, time: Micros) {
+    if time < 0 {
+        reply.push(b'-');
+    }
+    let time = time.unsigned_abs();
+    push_number(reply, time / 1_000_000);
+    reply.push(b'.');
+    let places = time % 1_000_000;
+    let mut digit = 100_000;
+    while digit > 0 {
+        reply.push(b'0' + (places / digit % 10) as u8);
+        digit /= 10;
+    }
+}
+
+impl SimHost {
+    /// Writes one action: its name, the instance and what `rest` adds.
+    fn act(&self, name: &str, rest: impl FnOnce(&mut Vec<u8>)) {
+        let mut reply = self.reply.borrow_mut();
+        if reply.last() == Some(&b']') {
+            reply.push(b',');
+        }
+        reply.extend_from_slice(b"[\"");
+        reply.extend_from_slice(name.as_bytes());
+        reply.extend_from_slice(b"\",");
+        push_number(&mut reply, self.instance);
+        rest(&mut reply);
+        reply.push(b']');
+    }
+}
+
+impl Host for SimHost {
+    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros) {
+        self.act("submit_to", |r| {
+            r.push(b',');
+            push_text(r, access);
+            r.push(b',');
+            push_seconds(r, allow_for);
+            r.push(b',');
+            push_text(r, node);
+        });
+    }
+    fn turn_back(&mut self, access: &AccessId, stay_away: Micros) {
+        self.act("shed", |r| {
+            r.push(b',');
+            push_text(r, access);
+            r.push(b',');
+            push_seconds(r, stay_away);
+        });
+    }
+    fn break_off(&mut self, access: &AccessId) {
+        self.act("fail", |r| {
+            r.push(b',');
+            push_text(r, access);
+        });
+    }
+    fn wake_at(&mut self, label: u64, at: Micros) {
+        self.act("set_timer", |r| {
+            r.push(b',');
+            push_number(r, label);
+            r.push(b',');
+            push_seconds(r, at);
+        });
+    }
+    fn watch_list(&mut self) {
+        self.act("watch", |r| r.extend_from_slice(b",true"));
+    }
+    fn tell_all(&mut self, body: &str) {
+        self.act("notify", |r| {
+            r.extend_from_slice(b",\"all\",");
+            push_text(r, body);
+        });
+    }
+    fn note(&mut self, line: &str) {
+        self.act("record", |r| {
+            r.push(b',');
+            push_text(r, line);
+        });
+    }
+}
+
+fn ending(code: i64) -> Ending {
+    match code {
+        200 => Ending::Honoured,
+        502 => Ending::Error,
+        429 => Ending::Full,
+        408 => Ending::TimedOut,
+        521 => Ending::ConnectFailed,
+        520 => Ending::Reset,
+        444 => Ending::CalledOff,
+        409 => Ending::NotSent,
+        204 => Ending::Miss,
+        _ => Ending::Unknown,
+    }
+}
+
+/// All instances hosted by this process; they share nothing but the reply being written.
+#[derive(Default)]
+pub struct Proxies {
+    running: HashMap<u64, Policy<SimHost>>,
+    reply: Reply,
+}
+
+#[derive(Deserialize)]
+struct Batch<'a> {
+    clock: f64,
+    #[serde(borrow)]
+    events: &'a RawValue,
+}
+
+impl Proxies {
+    pub fn batch(&mut self, line: &[u8]) -> Result<Vec<u8>, serde_json::Error> {
+        let batch: Batch = serde_json::from_slice(line)?;
+        {
+            let mut reply = self.reply.borrow_mut();
+            reply.clear();
+            reply.extend_from_slice(b"{\"actions\":[");
+        }
+        let mut events = serde_json::Deserializer::from_str(batch.events.get());
+        Events { proxies: self, now: micros(batch.clock) }.deserialize(&mut events)?;
+        let mut reply = self.reply.borrow_mut();
+        reply.extend_from_slice(b"]}\n");
+        Ok(std::mem::take(&mut reply))
+    }
+}
+
+struct Events<'p> {
+    proxies: &'p mut Proxies,
+    now: Micros,
+}
+
+impl<'de> DeserializeSeed<'de> for Events<'_> {
+    type Value = ();
+    fn deserialize<D: serde::Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
+        from.deserialize_seq(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Events<'_> {
+    type Value = ();
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("the array of events")
+    }
+    fn visit_seq<A: SeqAccess<'de>>(self, mut events: A) -> Result<(), A::Error> {
+        while events.next_element_seed(Event { proxies: &mut *self.proxies, now: self.now })?.is_some() {}
+        Ok(())
+    }
+}
+
+struct Event<'p> {
+    proxies: &'p mut Proxies,
+    now: Micros,
+}
+
+impl<'de> DeserializeSeed<'de> for Event<'_> {
+    type Value = ();
+    fn deserialize<D: serde::Deserializer<'de>>(self, from: D) -> Result<(), D::Error> {
+        from.deserialize_seq(self)
+    }
+}
+
+/// The values of one event, by position.
+struct Fields<'n, A> {
+    event: &'n str,
+    seq: A,
+}
+
+impl<'de, A: SeqAccess<'de>> Fields<'_, A> {
+    fn maybe<T: Deserialize<'de>>(&mut self, field: &str) -> Result<Option<T>, A::Error> {
+        let value = self.seq.next_element::<Option<T>>();
+        value
+            .map(Option::flatten)
+            .map_err(|e| A::Error::custom(format!("event {}: {field}: {e}", self.event)))
+    }
+    fn need<T: Deserialize<'de>>(&mut self, field: &str) -> Result<T, A::Error> {
+        let event = self.event;
+        self.maybe(field)?.ok_or_else(|| A::Error::custom(format!("event {event}: {field} is missing")))
+    }
+    fn id(&mut self, field: &str) -> Result<Arc<str>, A::Error> {
+        Ok(self.need::<Text>(field)?.0.into())
+    }
+    fn time(&mut self, field: &str) -> Result<Micros, A::Error> {
+        Ok(micros(self.need(field)?))
+    }
+}
+
+/// Text, borrowed where it holds no escapes.
+#[derive(Deserialize)]
+struct Text<'a>(#[serde(borrow)] Cow<'a, str>);
+
+impl<'de> Visitor<'de> for Event<'_> {
+    type Value = ();
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("an event: an array of its name and values")
+    }
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        let name = seq.next_element::<Text>()?.ok_or_else(|| A::Error::custom("an event without a name"))?.0;
+        if !EVENTS.contains(&&*name) {
+            eprintln!("flintwell-simhost: unknown event '{name}' skipped");
+            while seq.next_element::<IgnoredAny>()?.is_some() {}
+            return Ok(());
+        }
+        let now = self.now;
+        let mut fields = Fields { event: &name, seq };
+        let instance: u64 = fields.need("i")?;
+        let mut policy = self.proxies.running.get_mut(&instance);
+        match &*name {
+            "begin" => {
+                let seed = fields.need("rng_seed")?;
+                let conf: Value = fields.need("conf")?;
+                let settings = decode(&conf).map_err(|e| A::Error::custom(format!("event begin: {e}")))?;
+                let host = SimHost { instance, reply: self.proxies.reply.clone() };
+                self.proxies.running.insert(instance, Policy::start(now, settings, seed, host));
+            }
+            "shutdown" => {
+                self.proxies.running.remove(&instance);
+            }
+            "incoming" => {
+                let arrival = Arrival {
+                    id: fields.id("msg_id")?,
+                    use_case: fields.need("qos")?,
+                    tenant: fields.maybe("org")?.unwrap_or(0),
+                    key: fields.maybe::<Text>("item")?.map(|t| Key::from(t.0)),
+                    outer_limit: fields.time("deadline")?,
+                    work: fields.maybe("cost_guess")?.map(micros),
+                    write: {
+                        fields.maybe::<IgnoredAny>("size")?;
+                        fields.maybe::<u64>("marks")?.unwrap_or(0) & WRITE_MARK != 0
+                    },
+                };
+                if let Some(policy) = policy.as_mut() {
+                    policy.access_arrives(now, arrival);
+                }
+            }
+            "answer" => {
+                let (id, number) = (fields.id("msg_id")?, fields.need("send_no")?);
+                let node = fields.id("node")?;
+                let outcome = Outcome {
+                    number,
+                    ending: ending(fields.need("ending")?),
+                    wait: fields.time("wait_time")?,
+                    settled: fields.need("settled")?,
+                    fetch_elsewhere: fields.maybe::<i64>("detail")? == Some(3),
+                    waiting: waiting(fields.maybe("telemetry")?),
+                };
+                if let Some(policy) = policy.as_mut() {
+                    policy.outcome(now, &id, &node, outcome);
+                }
+            }
+            "begun" => {
+                let id = fields.id("msg_id")?;
+                let _number: usize = fields.need("send_no")?;
+                let node = fields.id("node")?;
+                if let Some(policy) = policy.as_mut() {
+                    policy.stream_begins(now, &id, &node);
+                }
+            }
+            "targets" => {
+                let kind = match &*fields.need::<Text>("how")?.0 {
+                    "Partial" => ListKind::Changes,
+                    "Complete" => ListKind::Whole,
+                    "Persisted" => ListKind::Kept,
+                    "Error" => ListKind::Failed,
+                    other => return Err(A::Error::custom(format!("event targets: how: unknown '{other}'"))),
+                };
+                let _version = fields.maybe::<IgnoredAny>("stamp")?;
+                let items = fields.maybe::<Vec<Item>>("items")?.unwrap_or_default();
+                if let Some(policy) = policy.as_mut() {
+                    policy.list(now, kind, items.into_iter().map(Item::entry).collect());
+                }
+            }
+            "sampled" => {
+                let node = fields.id("node")?;
+                let ending = ending(fields.need("ending")?);
+                if let Some(policy) = policy.as_mut() {
+                    policy.probe_result(now, &node, ending);
+                }
+            }
+            "datagram" => {
+                let peer = fields.need("who")?;
+                let body = fields.need::<Text>("body")?.0;
+                if let Some(policy) = policy.as_mut() {
+                    policy.peer_message(now, peer, &body);
+                }
+            }
+            "timeout_fired" => {
+                let label = fields.need("label")?;
+                if let Some(policy) = policy.as_mut() {
+                    policy.timer(now, label);
+                }
+            }
+            "vanished" => {
+                let id = fields.id("msg_id")?;
+                if let Some(policy) = policy.as_mut() {
+                    policy.access_gone(now, &id);
+                }
+            }
+            _ => {}
+        }
+        while fields.seq.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(())
+    }
+}
+
+fn waiting(report: Option<BTreeMap<Cow<str>, f64>>) -> Option<f64> {
+    report.and_then(|r| r.get("depth").copied())
+}
+
+/// One entry of a list: a short array, nulls allowed past the id.
+#[derive(Deserialize)]
+struct Item<'a>(
+    #[serde(borrow)] Cow<'a, str>,
+    #[serde(default)] Option<u32>,
+    #[serde(default)] Option<u32>,
+    #[serde(default)] Option<u32>,
+    #[serde(default, borrow)] Option<Cow<'a, str>>,
+    #[serde(default)] Option<f64>,
+    #[serde(default)] Option<f64>,
+);
+
+impl Item<'_> {
+    fn entry(self) -> Entry {
+        Entry {
+            node: self.0.into(),
+            zone: self.1.unwrap_or(0),
+            kind: self.2.unwrap_or(0),
+            cell: self.3.unwrap_or(0),
+            // A standing that is not known is no leave to send.
+            standing: match self.4.as_deref() {
+                Some("Ready") => Standing::Ready,
+                Some("Gone") => Standing::Gone,
+                _ => Standing::Draining,
+            },
+            size: self.5.unwrap_or(1.0),
+            started_at: self.6.map_or(0, micros),
+        }
+    }
+}
