--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -21,6 +21,7 @@
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
+const FULL_SHARE: f64 = 0.3; // of the mean answer time; how long a full node is passed over: one place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
 const FETCH_LIMIT_FIRST: f64 = 8.0; // fetches out; start value, before the origin's answers teach better
@@ -87,6 +88,7 @@
     heard_at: Micros,
     strikes: u32,
     skip_until: Micros,
+    full_until: Micros,
     /// Accesses sent to it, and taken by it, lately.
     sent: Pace,
     taken: Pace,
@@ -262,7 +264,7 @@
         if write {
             self.write_passes(now, &id, &key);
         } else if self.settings.aside {
-            self.to_cache(now, &id);
+            self.ask_cache(now, &id);
         } else {
             self.read_through(now, &id, key);
         }
@@ -456,7 +458,9 @@
         let slot = Self::slot(&access.key);
         let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
         let ranks = self.slots.get(slot)?.iter().filter(|&&n| n != NOBODY).map(|&n| n as usize);
-        let mut open = ranks.filter(|&n| !tried(n) && self.takes(now, n, slot));
+        // Danger: past home and spare nobody holds the key; in a burst each refusal would become a fetch.
+        let pair = ranks.filter(|&n| self.takes(now, n, slot)).take(2);
+        let mut open = pair.filter(|&n| !tried(n) && now >= self.nodes[n].full_until);
         let home = open.next()?;
         let load = self.nodes[home].in_flight;
         let mean = f64::from(self.in_flight) / self.ready_caches.max(1) as f64;
@@ -466,13 +470,22 @@
         Some(open.next().filter(|&spare| self.nodes[spare].in_flight < load).unwrap_or(home))
     }
 
+    /// Whether the key's caches are there but full.
+    fn any_full(&self, now: Micros, access: &Access) -> bool {
+        let slot = Self::slot(&access.key);
+        let ranks = self.slots.get(slot).map_or(&[][..], |r| &r[..]);
+        ranks.iter().filter(|&&n| n != NOBODY).any(|&n| self.takes(now, n as usize, slot))
+    }
+
     // ---- reads and writes ----
 
-    fn to_cache(&mut self, now: Micros, id: &AccessId) {
+    fn ask_cache(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
         match self.choose(now, access) {
             Some(node) => self.hand_off(now, id, node),
-            None if self.settings.aside && !access.write => self.fetch(now, id),
+            None if self.settings.aside && !access.write && !self.any_full(now, access) => {
+                self.fetch(now, id)
+            }
             None => self.give_up(now, id),
         }
     }
@@ -483,7 +496,7 @@
         match self.origin {
             Some(origin) if self.settings.aside => self.hand_off(now, id, origin),
             None if self.settings.aside => self.give_up(now, id),
-            _ => self.to_cache(now, id),
+            _ => self.ask_cache(now, id),
         }
         if let Some(join) = ended {
             for follower in join.followers {
@@ -500,13 +513,13 @@
     fn read_through(&mut self, now: Micros, id: &AccessId, key: Key) {
         match self.joins.get(&key) {
             Some(join) if join.leader.is_some() => self.follow(now, id, key),
-            Some(join) if now - join.served_at < SERVED_WINDOW => self.to_cache(now, id),
+            Some(join) if now - join.served_at < SERVED_WINDOW => self.ask_cache(now, id),
             _ => {
                 let node = self.accesses.get(id).and_then(|a| self.choose(now, a));
                 if let Some(node) = node {
                     self.lead(id, key, node);
                 }
-                self.to_cache(now, id);
+                self.ask_cache(now, id);
             }
         }
     }
@@ -548,7 +561,7 @@
     }
 
     fn alone(&mut self, now: Micros, id: &AccessId) {
-        if self.settings.aside { self.fetch(now, id) } else { self.to_cache(now, id) }
+        if self.settings.aside { self.fetch(now, id) } else { self.ask_cache(now, id) }
     }
 
     /// A fetch at the origin, now or when one of those out has ended.
@@ -584,7 +597,7 @@
         let Some(access) = self.accesses.get(id) else { return };
         let at_origin = Some(node) == self.origin;
         if !at_origin {
-            return self.to_cache(now, id);
+            return self.ask_cache(now, id);
         }
         let pause = (self.origin_times.mean * PAUSE_SHARE * self.rng.random_range(0.5..1.5)) as Micros;
         if now + pause + self.origin_times.expected() >= access.useful_until
@@ -768,8 +781,12 @@
         if is_cache {
             self.in_flight = self.in_flight.saturating_sub(1);
         }
+        let full_until = now + (self.cache_times.mean * FULL_SHARE) as Micros;
         let node = &mut self.nodes[n];
         node.in_flight = node.in_flight.saturating_sub(1);
+        if outcome.ending == Ending::Full {
+            node.full_until = full_until;
+        }
         let sent_at = now - outcome.wait;
         if outcome.ending == Ending::Honoured {
             node.taken.add(now, self.settings.fall);
