Limit what is out at caches and origin, learned from answers, writes included

Three first incidents: crowded nodes and an origin full of abandoned work, kept so by client repeats.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -24,10 +24,14 @@
 const FULL_SHARE: f64 = 0.3; // of the mean answer time; how long a full node is passed over: one place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
-const FETCH_LIMIT_FIRST: f64 = 8.0; // fetches out; start value, before the origin's answers teach better
-const FETCH_LIMIT_MOST: f64 = 64.0; // fetches out; bounds what a quiet spell can teach
-const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before the limit falls
-const FETCH_CUT: f64 = 0.8; // factor on the limit when the origin shows strain, once an answer time
+const FETCHES_FIRST: f64 = 4.0; // fetches out; start value, before the origin's answers teach better
+const CACHE_FIRST: f64 = 32.0; // accesses out at all caches; start value, above what a calm proxy needs
+const LIMIT_MOST: f64 = 256.0; // hand-offs out; bounds what a quiet spell can teach
+const LIMIT_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out, many proxies share a weak origin
+const LIMIT_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
+const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
+const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
+const CROWDED: f64 = 0.35; // of the shortest goal time; above it the caches' mean answer shows strain
 const BEST_DRIFT: f64 = 1.01; // growth of the best known time an answer, so that an old best is forgotten
 const PAUSE_SHARE: f64 = 0.5; // of the origin's mean: pause before a fetch is tried once more
 const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
@@ -138,6 +142,24 @@
     }
 }
 
+/// How many of our hand-offs may be out at once, learned from how they end.
+struct Limit {
+    most: f64,
+    cut_at: Micros,
+}
+
+impl Limit {
+    fn learn(&mut self, now: Micros, strained: bool, used: u32, answer_time: Micros) {
+        if !strained {
+            let grown = self.most + 1.0 / self.most.max(1.0);
+            self.most = if f64::from(used) >= self.most / 2.0 { grown.min(LIMIT_MOST) } else { self.most };
+        } else if now - self.cut_at >= answer_time {
+            self.cut_at = now;
+            self.most = (self.most * LIMIT_CUT).max(LIMIT_LEAST);
+        }
+    }
+}
+
 /// A tenant's arrivals here and its allowance.
 struct Tenant {
     arrivals: u32,
@@ -166,8 +188,10 @@
     origin: Option<usize>,
     origin_times: Times,
     origin_best: f64,
-    fetch_limit: f64,
-    limit_cut_at: Micros,
+    origin_limit: Limit,
+    fetch_after: Micros,
+    cache_limit: Limit,
+    crowded: f64,
     tenants: Vec<Tenant>,
     peers: BTreeMap<u32, (Micros, Vec<u32>)>,
     tell_at: Micros,
@@ -228,8 +252,10 @@
             origin: None,
             origin_times: guess(),
             origin_best: f64::MAX,
-            fetch_limit: FETCH_LIMIT_FIRST,
-            limit_cut_at: now,
+            origin_limit: Limit { most: FETCHES_FIRST, cut_at: now },
+            fetch_after: now,
+            cache_limit: Limit { most: CACHE_FIRST, cut_at: now },
+            crowded: shortest * CROWDED,
             peers: BTreeMap::new(),
             list_failures: 0,
             next_wake: Micros::MAX,
@@ -263,6 +289,9 @@
         }
         if write {
             self.write_passes(now, &id, &key);
+        } else if f64::from(self.in_flight) >= self.cache_limit.most.max(1.0) {
+            // Danger: crowded nodes slow down, their answers come too late, and clients come again.
+            self.give_up(now, &id);
         } else if self.settings.aside {
             self.ask_cache(now, &id);
         } else {
@@ -493,11 +522,7 @@
     /// Writes pass at once; they end the key's join and served window. Those held join the fetch made after.
     fn write_passes(&mut self, now: Micros, id: &AccessId, key: &Key) {
         let ended = self.joins.remove(key);
-        match self.origin {
-            Some(origin) if self.settings.aside => self.hand_off(now, id, origin),
-            None if self.settings.aside => self.give_up(now, id),
-            _ => self.ask_cache(now, id),
-        }
+        self.alone(now, id);
         if let Some(join) = ended {
             for follower in join.followers {
                 self.unhold(&follower);
@@ -564,30 +589,43 @@
         if self.settings.aside { self.fetch(now, id) } else { self.ask_cache(now, id) }
     }
 
-    /// A fetch at the origin, now or when one of those out has ended.
+    /// Whether the origin may get one more: writes have more room than fetches.
+    fn origin_has_room(&self, now: Micros, origin: usize, write: bool) -> bool {
+        let most = self.origin_limit.most * if write { WRITE_ROOM } else { 1.0 };
+        f64::from(self.nodes[origin].in_flight) < most.max(1.0) && (most >= 1.0 || now >= self.fetch_after)
+    }
+
+    /// To the origin, now or when one of those out has ended.
     fn fetch(&mut self, now: Micros, id: &AccessId) {
         let Some(origin) = self.origin else { return self.give_up(now, id) };
         let Some(access) = self.accesses.get(id) else { return };
-        let (until, expected) = (access.useful_until, self.origin_times.expected());
-        if f64::from(self.nodes[origin].in_flight) < self.fetch_limit {
+        let (until, expected, write) = (access.useful_until, self.origin_times.expected(), access.write);
+        if self.origin_has_room(now, origin, write) {
             return self.hand_off(now, id, origin);
         }
-        let ahead = (self.queue.len() + 1) as f64 / self.fetch_limit;
+        // Danger: an origin that goes on with work nobody waits for stays full of it, writes and their repeats too.
+        let ahead = if write { 1.0 } else { (self.queue.len() + 1) as f64 } / self.origin_limit.most;
         if now + expected + (expected as f64 * ahead) as Micros > until {
             return self.give_up(now, id);
         }
-        self.queue.push_back(id.clone());
+        if write {
+            self.queue.push_front(id.clone())
+        } else {
+            self.queue.push_back(id.clone())
+        }
         self.hold(id, Role::Queued, until - expected);
     }
 
     fn fetch_queued(&mut self, now: Micros) {
-        while let Some(origin) = self.origin
-            && f64::from(self.nodes[origin].in_flight) < self.fetch_limit
-            && let Some(id) = self.queue.pop_front()
-        {
-            if self.accesses.get(&id).is_some_and(|a| a.role == Role::Queued) {
-                self.unhold(&id);
-                self.hand_off(now, &id, origin);
+        while let (Some(origin), Some(id)) = (self.origin, self.queue.front().cloned()) {
+            match self.accesses.get(&id) {
+                Some(a) if a.role == Role::Queued && !self.origin_has_room(now, origin, a.write) => return,
+                Some(a) if a.role == Role::Queued => {
+                    self.queue.pop_front();
+                    self.unhold(&id);
+                    self.hand_off(now, &id, origin);
+                }
+                _ => drop(self.queue.pop_front()),
             }
         }
     }
@@ -667,7 +705,10 @@
         let node = &mut self.nodes[n];
         node.sent.add(now, self.settings.fall);
         node.in_flight += 1;
-        if !at_origin {
+        if at_origin {
+            let space = self.origin_times.mean / self.origin_limit.most.min(1.0);
+            self.fetch_after = now + space as Micros;
+        } else {
             self.in_flight += 1;
         }
         self.host.hand_off(id, &node.id, allow_for);
@@ -734,7 +775,9 @@
 
     fn arm(&mut self) {
         let held = self.held.first_key_value().map_or(Micros::MAX, |(&(at, _), _)| at);
-        let at = held.min(self.tell_at).min(self.list_due.unwrap_or(Micros::MAX));
+        let idle = self.origin.is_some_and(|o| self.nodes[o].in_flight == 0) && !self.queue.is_empty();
+        let fetch = if idle { self.fetch_after } else { Micros::MAX };
+        let at = held.min(self.tell_at).min(self.list_due.unwrap_or(Micros::MAX)).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
             self.host.wake_at(WAKE, at);
@@ -753,6 +796,7 @@
                 _ => self.give_up(now, &id),
             }
         }
+        self.fetch_queued(now);
         while let Some((at, key)) = self.served_order.front()
             && now - at >= SERVED_WINDOW
         {
@@ -804,31 +848,30 @@
             }
             _ => {}
         }
-        if is_cache && matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
-            self.cache_times.learn(outcome.wait);
-        } else if at_origin {
+        if at_origin {
             self.learn_origin(now, outcome);
+        } else if is_cache && !matches!(outcome.ending, Ending::CalledOff | Ending::NotSent) {
+            let answered = matches!(outcome.ending, Ending::Honoured | Ending::Miss);
+            if answered || outcome.ending == Ending::TimedOut {
+                self.cache_times.learn(outcome.wait);
+            }
+            let strained = !answered || self.cache_times.mean > self.crowded;
+            self.cache_limit.learn(now, strained, self.in_flight, self.cache_times.expected());
         }
     }
 
-    /// The limit on fetches out grows while the origin answers near its best and falls when it strains.
     fn learn_origin(&mut self, now: Micros, outcome: &Outcome) {
-        let wait = outcome.wait.max(1);
         if outcome.ending == Ending::Honoured {
-            self.origin_times.learn(wait);
-            self.origin_best = (self.origin_best * BEST_DRIFT).min(self.origin_times.mean).min(f64::MAX);
+            self.origin_times.learn(outcome.wait);
+            self.origin_best = (self.origin_best * BEST_DRIFT).min(self.origin_times.mean);
         }
         let strained = match outcome.ending {
             Ending::Honoured => self.origin_times.mean > FETCH_SLOW * self.origin_best,
             Ending::Miss | Ending::CalledOff | Ending::NotSent => return,
             _ => true,
         };
-        if !strained {
-            self.fetch_limit = (self.fetch_limit + 1.0 / self.fetch_limit).min(FETCH_LIMIT_MOST);
-        } else if now - self.limit_cut_at >= self.origin_times.expected() {
-            self.limit_cut_at = now;
-            self.fetch_limit = (self.fetch_limit * FETCH_CUT).max(1.0);
-        }
+        let used = self.origin.map_or(0, |o| self.nodes[o].in_flight);
+        self.origin_limit.learn(now, strained, used + 1, self.origin_times.expected());
     }
 
     // ---- fair shares ----
