--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -31,7 +31,7 @@
 const LIMIT_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
-const CROWDED: f64 = 0.35; // of the shortest goal time; above it the caches' mean answer shows strain
+const CROWDED: f64 = 0.5; // of the shortest goal time; above it the caches' mean answer shows strain
 const BEST_DRIFT: f64 = 1.01; // growth of the best known time an answer, so that an old best is forgotten
 const PAUSE_SHARE: f64 = 0.5; // of the origin's mean: pause before a fetch is tried once more
 const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
@@ -855,7 +855,7 @@
             if answered || outcome.ending == Ending::TimedOut {
                 self.cache_times.learn(outcome.wait);
             }
-            let strained = !answered || self.cache_times.mean > self.crowded;
+            let strained = outcome.ending == Ending::Full || self.cache_times.mean > self.crowded;
             self.cache_limit.learn(now, strained, self.in_flight, self.cache_times.expected());
         }
     }
