--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -25,13 +25,16 @@
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
 const FETCHES_FIRST: f64 = 4.0; // fetches out; start value, before the origin's answers teach better
-const CACHE_FIRST: f64 = 32.0; // accesses out at all caches; start value, above what a calm proxy needs
 const LIMIT_MOST: f64 = 256.0; // hand-offs out; bounds what a quiet spell can teach
 const LIMIT_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out, many proxies share a weak origin
 const LIMIT_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
-const CROWDED: f64 = 0.5; // of the shortest goal time; above it the caches' mean answer shows strain
+const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
+const CONTROL: Micros = 100_000; // us; between steps of the share admitted: an answer time or so
+const ADMIT_FALL: f64 = 0.9; // factor on the share admitted while crowded; halves it in under a second
+const ADMIT_RISE: f64 = 0.02; // added to it while not; back in full within seconds
+const ADMIT_LEAST: f64 = 0.05; // some must go on, or nothing is learned any more
 const BEST_DRIFT: f64 = 1.01; // growth of the best known time an answer, so that an old best is forgotten
 const PAUSE_SHARE: f64 = 0.5; // of the origin's mean: pause before a fetch is tried once more
 const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
@@ -190,8 +193,9 @@
     origin_best: f64,
     origin_limit: Limit,
     fetch_after: Micros,
-    cache_limit: Limit,
-    crowded: f64,
+    goal_used: f64,
+    admit: f64,
+    admit_at: Micros,
     tenants: Vec<Tenant>,
     peers: BTreeMap<u32, (Micros, Vec<u32>)>,
     tell_at: Micros,
@@ -254,8 +258,9 @@
             origin_best: f64::MAX,
             origin_limit: Limit { most: FETCHES_FIRST, cut_at: now },
             fetch_after: now,
-            cache_limit: Limit { most: CACHE_FIRST, cut_at: now },
-            crowded: shortest * CROWDED,
+            goal_used: FIRST_SHARE,
+            admit: 1.0,
+            admit_at: now,
             peers: BTreeMap::new(),
             list_failures: 0,
             next_wake: Micros::MAX,
@@ -289,7 +294,7 @@
         }
         if write {
             self.write_passes(now, &id, &key);
-        } else if f64::from(self.in_flight) >= self.cache_limit.most.max(1.0) {
+        } else if self.admit < 1.0 && self.rng.random::<f64>() >= self.admit {
             // Danger: crowded nodes slow down, their answers come too late, and clients come again.
             self.give_up(now, &id);
         } else if self.settings.aside {
@@ -302,7 +307,8 @@
     /// A hand-off ended.
     pub fn outcome(&mut self, now: Micros, id: &AccessId, node: &NodeId, outcome: Outcome) {
         let Some(&node) = self.by_id.get(node) else { return };
-        self.observe(now, node, &outcome);
+        let goal = self.accesses.get(id).map(|a| self.settings.use_cases[a.use_case].goal_time as f64);
+        self.observe(now, node, &outcome, goal);
         let mut known = false;
         if let Some(access) = self.accesses.get_mut(id)
             && let Some(hand_off) = access.hand_offs.get_mut(outcome.number)
@@ -819,7 +825,7 @@
 
     // ---- what is learned ----
 
-    fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome) {
+    fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome, goal: Option<f64>) {
         let at_origin = Some(n) == self.origin;
         let is_cache = self.settings.origin_kind != Some(self.nodes[n].kind);
         if is_cache {
@@ -855,8 +861,15 @@
             if answered || outcome.ending == Ending::TimedOut {
                 self.cache_times.learn(outcome.wait);
             }
-            let strained = outcome.ending == Ending::Full || self.cache_times.mean > self.crowded;
-            self.cache_limit.learn(now, strained, self.in_flight, self.cache_times.expected());
+            let full = outcome.ending == Ending::Full;
+            let used = goal.map_or(self.goal_used, |goal| outcome.wait as f64 / goal.max(1.0));
+            self.goal_used += SMOOTHING * (if full { 1.0 } else { used } - self.goal_used);
+            if now - self.admit_at >= CONTROL {
+                self.admit_at = now;
+                let next =
+                    if self.goal_used > CROWDED { self.admit * ADMIT_FALL } else { self.admit + ADMIT_RISE };
+                self.admit = next.clamp(ADMIT_LEAST, 1.0);
+            }
         }
     }
 
