--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -6,10 +6,11 @@
 //! keeps no clock, does no I/O and shares nothing with other instances.
 
 use crate::interface::*;
+use crate::state::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const SLOTS: usize = 1024; // slots; some 50 or more a node, so that shares are even and a rebuild stays cheap
 const RANKS: usize = 4; // nodes a slot ranks: home, spare and two more for when those are out
@@ -25,9 +26,9 @@
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
 const FETCHES_FIRST: f64 = 4.0; // fetches out; start value, before the origin's answers teach better
-const LIMIT_MOST: f64 = 256.0; // hand-offs out; bounds what a quiet spell can teach
-const LIMIT_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out, many proxies share a weak origin
-const LIMIT_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
+const FETCHES_MOST: f64 = 256.0; // hand-offs out; bounds what a quiet spell can teach
+const FETCHES_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out, many proxies share a weak origin
+const FETCHES_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
@@ -47,129 +48,7 @@
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
 const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses in flight at a node beyond which surplus ones are turned back
 const WAKE: u64 = 0; // the one timer label
-
-/// One hand-off.
-struct HandOff {
-    node: usize,
-    sent_at: Micros,
-    ending: Option<Ending>,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Role {
-    Plain,
-    Following,
-    /// In the queue before the origin.
-    Queued,
-    /// Waiting a moment before another fetch.
-    Pausing,
-}
-
-/// One access, until its final answer.
-struct Access {
-    use_case: usize,
-    key: Key,
-    write: bool,
-    arrived: Micros,
-    outer_limit: Micros,
-    /// Past this an answer earns nothing.
-    useful_until: Micros,
-    hand_offs: Vec<HandOff>,
-    /// The cache node that missed last.
-    missed_at: Option<usize>,
-    role: Role,
-    due: Option<(Micros, u64)>,
-}
-
-/// One cache node or the origin, as long as this instance lives.
-#[derive(Default)]
-struct Node {
-    id: NodeId,
-    zone: u32,
-    kind: u32,
-    cell: u32,
-    standing: Standing,
-    size: f64,
-    started_at: Micros,
-    in_flight: u32,
-    heard_at: Micros,
-    strikes: u32,
-    skip_until: Micros,
-    full_until: Micros,
-    /// Accesses sent to it, and taken by it, lately.
-    sent: Pace,
-    taken: Pace,
-}
-
-/// A key with a fetch out, or (through mode) served lately.
-struct Join {
-    leader: Option<AccessId>,
-    node: usize,
-    followers: Vec<AccessId>,
-    served_at: Micros,
-}
-
-/// Times of answers: mean and mean deviation.
-struct Times {
-    mean: f64,
-    deviation: f64,
-}
-
-impl Times {
-    fn learn(&mut self, wait: Micros) {
-        let off = wait as f64 - self.mean;
-        self.mean += SMOOTHING * off;
-        self.deviation += SMOOTHING * (off.abs() - self.deviation);
-    }
-    fn expected(&self) -> Micros {
-        self.mean as Micros
-    }
-    fn overdue(&self) -> Micros {
-        (self.mean + PATIENCE * self.deviation) as Micros
-    }
-}
-
-/// A count that decays over a given time.
-#[derive(Default, Clone, Copy)]
-struct Pace {
-    count: f64,
-    at: Micros,
-}
-
-impl Pace {
-    fn now(&self, now: Micros, fade: Micros) -> f64 {
-        self.count * (-((now - self.at) as f64) / fade.max(1) as f64).exp()
-    }
-    fn add(&mut self, now: Micros, fade: Micros) {
-        *self = Pace { count: self.now(now, fade) + 1.0, at: now };
-    }
-}
-
-/// How many of our hand-offs may be out at once, learned from how they end.
-struct Limit {
-    most: f64,
-    cut_at: Micros,
-}
-
-impl Limit {
-    fn learn(&mut self, now: Micros, strained: bool, used: u32, answer_time: Micros) {
-        if !strained {
-            let grown = self.most + 1.0 / self.most.max(1.0);
-            self.most = if f64::from(used) >= self.most / 2.0 { grown.min(LIMIT_MOST) } else { self.most };
-        } else if now - self.cut_at >= answer_time {
-            self.cut_at = now;
-            self.most = (self.most * LIMIT_CUT).max(LIMIT_LEAST);
-        }
-    }
-}
-
-/// A tenant's arrivals here and its allowance.
-struct Tenant {
-    arrivals: u32,
-    part: f64,
-    allowance: f64,
-    filled_at: Micros,
-}
+const NOBODY: u16 = u16::MAX; // a slot rank without a node
 
 /// One instance of the decision module.
 pub struct Policy<H: Host> {
@@ -177,8 +56,7 @@
     rng: ChaCha8Rng,
     settings: Settings,
     accesses: FxHashMap<AccessId, Access>,
-    held: BTreeMap<(Micros, u64), AccessId>,
-    held_count: u64,
+    held: BTreeSet<(Micros, AccessId)>,
     queue: VecDeque<AccessId>,
     joins: FxHashMap<Key, Join>,
     served_order: VecDeque<(Micros, Key)>,
@@ -191,7 +69,8 @@
     origin: Option<usize>,
     origin_times: Times,
     origin_best: f64,
-    origin_limit: Limit,
+    fetches: f64,
+    cut_at: Micros,
     fetch_after: Micros,
     goal_used: f64,
     admit: f64,
@@ -204,46 +83,22 @@
     next_wake: Micros,
 }
 
-const NOBODY: u16 = u16::MAX; // a slot rank without a node
-
-/// Spreads a hash's bits (splitmix64's finaliser), alike on every machine.
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-fn hash(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
-}
-
-/// A number in (0, 1) from a hash.
-fn unit(h: u64) -> f64 {
-    ((h >> 11) as f64 + 0.5) / (1u64 << 53) as f64
-}
-
 impl<H: Host> Policy<H> {
     /// A fresh instance; the kept list follows by `list`.
     pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
         let guess = || Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
         let part = 1.0 / f64::from(settings.fleet_size.max(1));
-        let tenants = settings.quotas.iter().map(|quota| Tenant {
-            arrivals: 0,
-            part,
-            allowance: quota * part,
-            filled_at: now,
-        });
+        let tenant = |quota: &f64| Tenant { arrivals: 0, part, allowance: quota * part, filled_at: now };
         Policy {
             host,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            tenants: tenants.collect(),
+            tenants: settings.quotas.iter().map(tenant).collect(),
             tell_at: if settings.quotas.is_empty() || !settings.peer_messages { Micros::MAX } else { now },
             list_due: settings.list_on_request.then_some(now),
             settings,
             accesses: FxHashMap::default(),
-            held: BTreeMap::new(),
-            held_count: 0,
+            held: BTreeSet::new(),
             queue: VecDeque::new(),
             joins: FxHashMap::default(),
             served_order: VecDeque::new(),
@@ -256,7 +111,8 @@
             origin: None,
             origin_times: guess(),
             origin_best: f64::MAX,
-            origin_limit: Limit { most: FETCHES_FIRST, cut_at: now },
+            fetches: FETCHES_FIRST,
+            cut_at: now,
             fetch_after: now,
             goal_used: FIRST_SHARE,
             admit: 1.0,
@@ -285,7 +141,7 @@
             hand_offs: Vec::new(),
             missed_at: None,
             role: Role::Plain,
-            due: None,
+            due: 0,
         };
         let (key, write) = (access.key.clone(), access.write);
         self.accesses.insert(id.clone(), access);
@@ -340,11 +196,8 @@
 
     /// The client has left, or the access is over otherwise; nothing more is owed.
     pub fn access_gone(&mut self, now: Micros, id: &AccessId) {
-        if let Some(access) = self.accesses.get(id) {
-            let node = access.missed_at.unwrap_or(0);
-            self.finish(now, id, false, node);
-            self.arm();
-        }
+        self.finish(now, id, false, 0);
+        self.arm();
     }
 
     /// The list, or a part of it.
@@ -477,39 +330,31 @@
         for warm in (0..self.nodes.len()).filter(|&o| self.is_cache(o) && self.warmth(now, o) >= 1.0) {
             // Danger: in an overload warm nodes are sent far more than they can do, and misses cost them little;
             // only what they honoured tells what a node like them can do.
-            taken += self.nodes[warm].taken.now(now, self.settings.fall);
+            taken += self.nodes[warm].honoured.now(now, self.settings.fall);
             size += self.nodes[warm].size;
         }
         let fair = if size > 0.0 { taken / size } else { 0.0 };
         node.sent.now(now, self.settings.fall) < fair * node.size * warmth + COLD_SLACK
     }
 
-    fn slot(key: &str) -> usize {
-        hash(key) as usize % SLOTS
-    }
-
-    /// The home, or the spare when the home has more than its part of our own accesses in flight.
-    fn choose(&self, now: Micros, access: &Access) -> Option<usize> {
-        let slot = Self::slot(&access.key);
-        let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
-        let ranks = self.slots.get(slot)?.iter().filter(|&&n| n != NOBODY).map(|&n| n as usize);
+    /// The home, or the spare when the home has more than its part of our own accesses in flight. `Err` tells
+    /// whether caches that take the key are there at all.
+    fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
+        let slot = hash(&access.key) as usize % SLOTS;
+        let Some(ranks) = self.slots.get(slot) else { return Err(false) };
+        let takes = |&n: &usize| n != NOBODY as usize && self.takes(now, n, slot);
         // Danger: past home and spare nobody holds the key; in a burst each refusal would become a fetch.
-        let pair = ranks.filter(|&n| self.takes(now, n, slot)).take(2);
+        let mut pair = ranks.iter().map(|&n| n as usize).filter(takes).take(2).peekable();
+        let there = pair.peek().is_some();
+        let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
         let mut open = pair.filter(|&n| !tried(n) && now >= self.nodes[n].full_until);
-        let home = open.next()?;
+        let home = open.next().ok_or(there)?;
         let load = self.nodes[home].in_flight;
         let mean = f64::from(self.in_flight) / self.ready_caches.max(1) as f64;
         if load < SPILL_FLOOR || f64::from(load) <= SPILL_FACTOR * mean {
-            return Some(home);
+            return Ok(home);
         }
-        Some(open.next().filter(|&spare| self.nodes[spare].in_flight < load).unwrap_or(home))
-    }
-
-    /// Whether the key's caches are there but full.
-    fn any_full(&self, now: Micros, access: &Access) -> bool {
-        let slot = Self::slot(&access.key);
-        let ranks = self.slots.get(slot).map_or(&[][..], |r| &r[..]);
-        ranks.iter().filter(|&&n| n != NOBODY).any(|&n| self.takes(now, n as usize, slot))
+        Ok(open.next().filter(|&spare| self.nodes[spare].in_flight < load).unwrap_or(home))
     }
 
     // ---- reads and writes ----
@@ -517,11 +362,9 @@
     fn ask_cache(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
         match self.choose(now, access) {
-            Some(node) => self.hand_off(now, id, node),
-            None if self.settings.aside && !access.write && !self.any_full(now, access) => {
-                self.fetch(now, id)
-            }
-            None => self.give_up(now, id),
+            Ok(node) => self.hand_off(now, id, node),
+            Err(false) if self.settings.aside && !access.write => self.fetch(now, id),
+            Err(_) => self.give_up(now, id),
         }
     }
 
@@ -532,10 +375,9 @@
         if let Some(join) = ended {
             for follower in join.followers {
                 self.unhold(&follower);
-                if self.settings.aside {
-                    self.missed(now, &follower, join.node, false);
-                } else {
-                    self.read_through(now, &follower, key.clone());
+                match self.settings.aside {
+                    true => self.missed(now, &follower, join.node, false),
+                    false => self.read_through(now, &follower, key.clone()),
                 }
             }
         }
@@ -546,8 +388,7 @@
             Some(join) if join.leader.is_some() => self.follow(now, id, key),
             Some(join) if now - join.served_at < SERVED_WINDOW => self.ask_cache(now, id),
             _ => {
-                let node = self.accesses.get(id).and_then(|a| self.choose(now, a));
-                if let Some(node) = node {
+                if let Some(Ok(node)) = self.accesses.get(id).map(|a| self.choose(now, a)) {
                     self.lead(id, key, node);
                 }
                 self.ask_cache(now, id);
@@ -597,7 +438,7 @@
 
     /// Whether the origin may get one more: writes have more room than fetches.
     fn origin_has_room(&self, now: Micros, origin: usize, write: bool) -> bool {
-        let most = self.origin_limit.most * if write { WRITE_ROOM } else { 1.0 };
+        let most = self.fetches * if write { WRITE_ROOM } else { 1.0 };
         f64::from(self.nodes[origin].in_flight) < most.max(1.0) && (most >= 1.0 || now >= self.fetch_after)
     }
 
@@ -610,14 +451,13 @@
             return self.hand_off(now, id, origin);
         }
         // Danger: an origin that goes on with work nobody waits for stays full of it, writes and their repeats too.
-        let ahead = if write { 1.0 } else { (self.queue.len() + 1) as f64 } / self.origin_limit.most;
+        let ahead = if write { 1.0 } else { (self.queue.len() + 1) as f64 } / self.fetches;
         if now + expected + (expected as f64 * ahead) as Micros > until {
             return self.give_up(now, id);
         }
-        if write {
-            self.queue.push_front(id.clone())
-        } else {
-            self.queue.push_back(id.clone())
+        match write {
+            true => self.queue.push_front(id.clone()),
+            false => self.queue.push_back(id.clone()),
         }
         self.hold(id, Role::Queued, until - expected);
     }
@@ -665,9 +505,7 @@
         {
             return false;
         }
-        let Some(first) = access.hand_offs.iter().find(|h| h.ending.is_some_and(|e| !e.never_ran())) else {
-            return true;
-        };
+        let Some(first) = access.may_have_run() else { return true };
         let earlier = &self.nodes[first.node];
         match case.effect {
             Effect::Replayable => true,
@@ -685,8 +523,7 @@
 
     fn may_turn_back(&self, now: Micros, access: &Access) -> bool {
         let case = &self.settings.use_cases[access.use_case];
-        let ran = access.hand_offs.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()));
-        match (case.effect, ran) {
+        match (case.effect, access.may_have_run()) {
             (Effect::Replayable, _) | (_, None) => true,
             (Effect::SingleUse, _) => false,
             (Effect::Referenced, Some(first)) => {
@@ -706,13 +543,14 @@
             return self.give_up(now, id);
         }
         let goal = self.settings.use_cases[access.use_case].goal_time as f64;
-        let patience = times.overdue().max((goal * PATIENCE_FLOOR) as Micros);
+        let patience =
+            ((times.mean + PATIENCE * times.deviation) as Micros).max((goal * PATIENCE_FLOOR) as Micros);
         let allow_for = if at_origin || access.write { left } else { patience.min(left) };
         let node = &mut self.nodes[n];
         node.sent.add(now, self.settings.fall);
         node.in_flight += 1;
         if at_origin {
-            let space = self.origin_times.mean / self.origin_limit.most.min(1.0);
+            let space = self.origin_times.mean / self.fetches.min(1.0);
             self.fetch_after = now + space as Micros;
         } else {
             self.in_flight += 1;
@@ -762,25 +600,23 @@
 
     fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
         if let Some(access) = self.accesses.get_mut(id) {
-            self.held_count += 1;
-            access.role = role;
-            access.due = Some((until, self.held_count));
-            self.held.insert((until, self.held_count), id.clone());
+            (access.role, access.due) = (role, until);
+            self.held.insert((until, id.clone()));
         }
         self.arm();
     }
 
     fn unhold(&mut self, id: &AccessId) {
-        if let Some(access) = self.accesses.get_mut(id) {
+        if let Some(access) = self.accesses.get_mut(id)
+            && access.role != Role::Plain
+        {
             access.role = Role::Plain;
-            if let Some(due) = access.due.take() {
-                self.held.remove(&due);
-            }
+            self.held.remove(&(access.due, id.clone()));
         }
     }
 
     fn arm(&mut self) {
-        let held = self.held.first_key_value().map_or(Micros::MAX, |(&(at, _), _)| at);
+        let held = self.held.first().map_or(Micros::MAX, |held| held.0);
         let idle = self.origin.is_some_and(|o| self.nodes[o].in_flight == 0) && !self.queue.is_empty();
         let fetch = if idle { self.fetch_after } else { Micros::MAX };
         let at = held.min(self.tell_at).min(self.list_due.unwrap_or(Micros::MAX)).min(fetch);
@@ -791,10 +627,7 @@
     }
 
     fn upkeep(&mut self, now: Micros) {
-        while let Some((&(at, _), id)) = self.held.first_key_value()
-            && at <= now
-        {
-            let id = id.clone();
+        while let Some((_, id)) = self.held.first().filter(|held| held.0 <= now).cloned() {
             let role = self.accesses.get(&id).map_or(Role::Plain, |a| a.role);
             self.unhold(&id);
             match role {
@@ -839,7 +672,7 @@
         }
         let sent_at = now - outcome.wait;
         if outcome.ending == Ending::Honoured {
-            node.taken.add(now, self.settings.fall);
+            node.honoured.add(now, self.settings.fall);
         }
         match outcome.ending {
             Ending::Honoured | Ending::Miss | Ending::Full | Ending::Error => {
@@ -859,7 +692,7 @@
         } else if is_cache && !matches!(outcome.ending, Ending::CalledOff | Ending::NotSent) {
             let answered = matches!(outcome.ending, Ending::Honoured | Ending::Miss);
             if answered || outcome.ending == Ending::TimedOut {
-                self.cache_times.learn(outcome.wait);
+                self.cache_times.learn(outcome.wait, SMOOTHING);
             }
             let full = outcome.ending == Ending::Full;
             let used = goal.map_or(self.goal_used, |goal| outcome.wait as f64 / goal.max(1.0));
@@ -875,7 +708,7 @@
 
     fn learn_origin(&mut self, now: Micros, outcome: &Outcome) {
         if outcome.ending == Ending::Honoured {
-            self.origin_times.learn(outcome.wait);
+            self.origin_times.learn(outcome.wait, SMOOTHING);
             self.origin_best = (self.origin_best * BEST_DRIFT).min(self.origin_times.mean);
         }
         let strained = match outcome.ending {
@@ -883,8 +716,13 @@
             Ending::Miss | Ending::CalledOff | Ending::NotSent => return,
             _ => true,
         };
-        let used = self.origin.map_or(0, |o| self.nodes[o].in_flight);
-        self.origin_limit.learn(now, strained, used + 1, self.origin_times.expected());
+        let used = self.origin.map_or(0, |o| self.nodes[o].in_flight + 1);
+        if !strained && f64::from(used) >= self.fetches / 2.0 {
+            self.fetches = (self.fetches + 1.0 / self.fetches.max(1.0)).min(FETCHES_MOST);
+        } else if strained && now - self.cut_at >= self.origin_times.expected() {
+            self.cut_at = now;
+            self.fetches = (self.fetches * FETCHES_CUT).max(FETCHES_LEAST);
+        }
     }
 
     // ---- fair shares ----
@@ -906,8 +744,8 @@
 
     /// Surplus accesses get only what would idle otherwise.
     fn idle_home(&self, now: Micros, id: &AccessId) -> bool {
-        let node = self.accesses.get(id).and_then(|a| self.choose(now, a));
-        node.is_some_and(|n| self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
+        let node = self.accesses.get(id).map(|a| self.choose(now, a));
+        matches!(node, Some(Ok(n)) if self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
     }
 
     /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
--- /dev/null
+++ b/crates/flintwell-core/src/state.rs
@@ -0,0 +1,132 @@
+//! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
+
+use crate::interface::{AccessId, Ending, Key, Micros, NodeId, Standing};
+
+/// One hand-off.
+pub(crate) struct HandOff {
+    pub node: usize,
+    pub sent_at: Micros,
+    pub ending: Option<Ending>,
+}
+
+/// Why an access is with us with nothing sent.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Role {
+    /// It is not: a hand-off is out.
+    Plain,
+    Following,
+    /// In the queue before the origin.
+    Queued,
+    /// Waiting a moment before another fetch.
+    Pausing,
+}
+
+/// One access, until its final answer.
+pub(crate) struct Access {
+    pub use_case: usize,
+    pub key: Key,
+    pub write: bool,
+    pub arrived: Micros,
+    pub outer_limit: Micros,
+    /// Past this an answer earns nothing.
+    pub useful_until: Micros,
+    pub hand_offs: Vec<HandOff>,
+    /// The cache node that missed last.
+    pub missed_at: Option<usize>,
+    pub role: Role,
+    /// When it is let go or given up, if held.
+    pub due: Micros,
+}
+
+impl Access {
+    /// The first hand-off that may have run, or still may.
+    pub fn may_have_run(&self) -> Option<&HandOff> {
+        self.hand_offs.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()))
+    }
+}
+
+/// A key with a fetch out, or (through mode) served lately.
+pub(crate) struct Join {
+    pub leader: Option<AccessId>,
+    pub node: usize,
+    pub followers: Vec<AccessId>,
+    pub served_at: Micros,
+}
+
+/// One cache node or the origin, as long as the instance lives.
+#[derive(Default)]
+pub(crate) struct Node {
+    pub id: NodeId,
+    pub zone: u32,
+    pub kind: u32,
+    pub cell: u32,
+    pub standing: Standing,
+    pub size: f64,
+    pub started_at: Micros,
+    pub in_flight: u32,
+    pub heard_at: Micros,
+    pub strikes: u32,
+    pub skip_until: Micros,
+    pub full_until: Micros,
+    /// Sent to it, and honoured by it, lately.
+    pub sent: Pace,
+    pub honoured: Pace,
+}
+
+/// A tenant's arrivals here and its allowance.
+pub(crate) struct Tenant {
+    pub arrivals: u32,
+    pub part: f64,
+    pub allowance: f64,
+    pub filled_at: Micros,
+}
+
+/// Times of answers: mean and mean deviation.
+pub(crate) struct Times {
+    pub mean: f64,
+    pub deviation: f64,
+}
+
+impl Times {
+    pub fn learn(&mut self, wait: Micros, weight: f64) {
+        let off = wait as f64 - self.mean;
+        self.mean += weight * off;
+        self.deviation += weight * (off.abs() - self.deviation);
+    }
+    pub fn expected(&self) -> Micros {
+        self.mean as Micros
+    }
+}
+
+/// A count that decays over a given time.
+#[derive(Default, Clone, Copy)]
+pub(crate) struct Pace {
+    count: f64,
+    at: Micros,
+}
+
+impl Pace {
+    pub fn now(&self, now: Micros, fade: Micros) -> f64 {
+        self.count * (-((now - self.at) as f64) / fade.max(1) as f64).exp()
+    }
+    pub fn add(&mut self, now: Micros, fade: Micros) {
+        *self = Pace { count: self.now(now, fade) + 1.0, at: now };
+    }
+}
+
+/// Spreads a hash's bits (splitmix64's finaliser), alike on every machine.
+pub(crate) fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// FNV-1a, spread: alike on every machine.
+pub(crate) fn hash(text: &str) -> u64 {
+    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
+}
+
+/// A number in (0, 1) from a hash.
+pub(crate) fn unit(h: u64) -> f64 {
+    ((h >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
