--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 const SLOTS: usize = 1024; // slots; some 50 or more a node, so that shares are even and a rebuild stays cheap
 const RANKS: usize = 4; // nodes a slot ranks: home, spare and two more for when those are out
@@ -37,7 +37,6 @@
 const ADMIT_RISE: f64 = 0.02; // added to it while not; back in full within seconds
 const ADMIT_LEAST: f64 = 0.05; // some must go on, or nothing is learned any more
 const BEST_DRIFT: f64 = 1.01; // growth of the best known time an answer, so that an old best is forgotten
-const PAUSE_SHARE: f64 = 0.5; // of the origin's mean: pause before a fetch is tried once more
 const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
 const TURNS_SHARE: f64 = 0.25; // of the ramp time: how long proxies take turns at a fresh node
 const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
@@ -57,24 +56,12 @@
     settings: Settings,
     accesses: FxHashMap<AccessId, Access>,
     held: BTreeSet<(Micros, AccessId)>,
-    queue: VecDeque<AccessId>,
-    joins: FxHashMap<Key, Join>,
-    served_order: VecDeque<(Micros, Key)>,
+    joins: BTreeMap<Key, Join>,
     nodes: Vec<Node>,
     by_id: FxHashMap<NodeId, usize>,
     slots: Vec<[u16; RANKS]>,
-    ready_caches: usize,
-    in_flight: u32,
-    cache_times: Times,
-    origin: Option<usize>,
-    origin_times: Times,
-    origin_best: f64,
-    fetches: f64,
-    cut_at: Micros,
-    fetch_after: Micros,
-    goal_used: f64,
-    admit: f64,
-    admit_at: Micros,
+    caches: Caches,
+    origin: Origin,
     tenants: Vec<Tenant>,
     peers: BTreeMap<u32, (Micros, Vec<u32>)>,
     tell_at: Micros,
@@ -99,24 +86,12 @@
             settings,
             accesses: FxHashMap::default(),
             held: BTreeSet::new(),
-            queue: VecDeque::new(),
-            joins: FxHashMap::default(),
-            served_order: VecDeque::new(),
+            joins: BTreeMap::new(),
             nodes: Vec::new(),
             by_id: FxHashMap::default(),
             slots: Vec::new(),
-            ready_caches: 0,
-            in_flight: 0,
-            cache_times: guess(),
-            origin: None,
-            origin_times: guess(),
-            origin_best: f64::MAX,
-            fetches: FETCHES_FIRST,
-            cut_at: now,
-            fetch_after: now,
-            goal_used: FIRST_SHARE,
-            admit: 1.0,
-            admit_at: now,
+            caches: Caches { times: guess(), admit: 1.0, ..Caches::default() },
+            origin: Origin { times: guess(), best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
             peers: BTreeMap::new(),
             list_failures: 0,
             next_wake: Micros::MAX,
@@ -150,7 +125,7 @@
         }
         if write {
             self.write_passes(now, &id, &key);
-        } else if self.admit < 1.0 && self.rng.random::<f64>() >= self.admit {
+        } else if self.caches.admit < 1.0 && self.rng.random::<f64>() >= self.caches.admit {
             // Danger: crowded nodes slow down, their answers come too late, and clients come again.
             self.give_up(now, &id);
         } else if self.settings.aside {
@@ -165,22 +140,17 @@
         let Some(&node) = self.by_id.get(node) else { return };
         let goal = self.accesses.get(id).map(|a| self.settings.use_cases[a.use_case].goal_time as f64);
         self.observe(now, node, &outcome, goal);
-        let mut known = false;
-        if let Some(access) = self.accesses.get_mut(id)
-            && let Some(hand_off) = access.hand_offs.get_mut(outcome.number)
-        {
-            known = hand_off.ending.replace(outcome.ending).is_none();
-        }
-        if !known {
-            // The access is over already, but the origin's answer may make room for a queued fetch.
-        } else if outcome.settled {
-            self.finish(now, id, outcome.ending == Ending::Honoured, node);
-        } else if outcome.ending == Ending::Miss {
-            self.missed(now, id, node, outcome.fetch_elsewhere);
-        } else {
-            self.after_failure(now, id, node);
+        let hand_off = self.accesses.get_mut(id).and_then(|a| a.hand_offs.get_mut(outcome.number));
+        // A late answer of an access that is over only teaches, and makes room at the origin.
+        if hand_off.is_some_and(|h| h.ending.replace(outcome.ending).is_none()) {
+            match outcome.ending {
+                ending if outcome.settled => self.finish(now, id, ending == Ending::Honoured, node),
+                Ending::Miss => self.missed(now, id, node),
+                _ if Some(node) == self.origin.node => self.give_up(now, id),
+                _ => self.ask_cache(now, id),
+            }
         }
-        if Some(node) == self.origin {
+        if Some(node) == self.origin.node {
             self.fetch_queued(now);
         }
         self.arm();
@@ -222,7 +192,7 @@
         for entry in entries {
             self.enter(entry);
         }
-        self.origin = (0..self.nodes.len()).find(|&n| {
+        self.origin.node = (0..self.nodes.len()).find(|&n| {
             self.settings.origin_kind == Some(self.nodes[n].kind) && self.nodes[n].standing == Standing::Ready
         });
         self.build_slots();
@@ -271,7 +241,7 @@
     fn build_slots(&mut self) {
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
         ready.sort_by(|&a, &b| self.nodes[a].id.cmp(&self.nodes[b].id));
-        self.ready_caches = ready.len();
+        self.caches.ready = ready.len();
         let seeds: Vec<(usize, u64, f64)> =
             ready.iter().map(|&n| (n, hash(&self.nodes[n].id), self.nodes[n].size)).collect();
         let mut ranked: Vec<(f64, usize)> = Vec::with_capacity(ready.len());
@@ -350,7 +320,7 @@
         let mut open = pair.filter(|&n| !tried(n) && now >= self.nodes[n].full_until);
         let home = open.next().ok_or(there)?;
         let load = self.nodes[home].in_flight;
-        let mean = f64::from(self.in_flight) / self.ready_caches.max(1) as f64;
+        let mean = f64::from(self.caches.in_flight) / self.caches.ready.max(1) as f64;
         if load < SPILL_FLOOR || f64::from(load) <= SPILL_FACTOR * mean {
             return Ok(home);
         }
@@ -376,7 +346,7 @@
             for follower in join.followers {
                 self.unhold(&follower);
                 match self.settings.aside {
-                    true => self.missed(now, &follower, join.node, false),
+                    true => self.missed(now, &follower, join.node),
                     false => self.read_through(now, &follower, key.clone()),
                 }
             }
@@ -389,7 +359,7 @@
             Some(join) if now - join.served_at < SERVED_WINDOW => self.ask_cache(now, id),
             _ => {
                 if let Some(Ok(node)) = self.accesses.get(id).map(|a| self.choose(now, a)) {
-                    self.lead(id, key, node);
+                    self.lead(now, id, key, node);
                 }
                 self.ask_cache(now, id);
             }
@@ -397,25 +367,27 @@
     }
 
     /// Aside mode: the first miss leads, later ones follow.
-    fn missed(&mut self, now: Micros, id: &AccessId, node: usize, _fetch_elsewhere: bool) {
+    fn missed(&mut self, now: Micros, id: &AccessId, node: usize) {
         let Some(access) = self.accesses.get_mut(id) else { return };
         access.missed_at = Some(node);
         let key = access.key.clone();
         if access.write || !self.settings.aside {
-            return self.after_failure(now, id, node);
+            return self.ask_cache(now, id);
         }
         if self.joins.get(&key).is_some_and(|j| j.leader.is_some()) {
             return self.follow(now, id, key);
         }
-        self.lead(id, key, node);
+        self.lead(now, id, key, node);
         self.fetch(now, id);
     }
 
-    fn lead(&mut self, id: &AccessId, key: Key, node: usize) {
+    fn lead(&mut self, now: Micros, id: &AccessId, key: Key, node: usize) {
+        if self.joins.len() >= MAX_KEYS {
+            self.joins.retain(|_, j| j.leader.is_some() || now - j.served_at < SERVED_WINDOW);
+        }
         if self.joins.len() < MAX_KEYS {
-            let join =
-                Join { leader: Some(id.clone()), node, followers: Vec::new(), served_at: Micros::MIN / 2 };
-            self.joins.insert(key, join);
+            let followers = Vec::new();
+            self.joins.insert(key, Join { leader: Some(id.clone()), node, followers, served_at: 0 });
         }
     }
 
@@ -438,61 +410,44 @@
 
     /// Whether the origin may get one more: writes have more room than fetches.
     fn origin_has_room(&self, now: Micros, origin: usize, write: bool) -> bool {
-        let most = self.fetches * if write { WRITE_ROOM } else { 1.0 };
-        f64::from(self.nodes[origin].in_flight) < most.max(1.0) && (most >= 1.0 || now >= self.fetch_after)
+        let most = self.origin.most * if write { WRITE_ROOM } else { 1.0 };
+        f64::from(self.nodes[origin].in_flight) < most.max(1.0) && (most >= 1.0 || now >= self.origin.after)
     }
 
     /// To the origin, now or when one of those out has ended.
     fn fetch(&mut self, now: Micros, id: &AccessId) {
-        let Some(origin) = self.origin else { return self.give_up(now, id) };
+        let Some(origin) = self.origin.node else { return self.give_up(now, id) };
         let Some(access) = self.accesses.get(id) else { return };
-        let (until, expected, write) = (access.useful_until, self.origin_times.expected(), access.write);
+        let (until, expected, write) = (access.useful_until, self.origin.times.expected(), access.write);
         if self.origin_has_room(now, origin, write) {
             return self.hand_off(now, id, origin);
         }
         // Danger: an origin that goes on with work nobody waits for stays full of it, writes and their repeats too.
-        let ahead = if write { 1.0 } else { (self.queue.len() + 1) as f64 } / self.fetches;
+        let ahead = if write { 1.0 } else { (self.origin.queue.len() + 1) as f64 } / self.origin.most;
         if now + expected + (expected as f64 * ahead) as Micros > until {
             return self.give_up(now, id);
         }
         match write {
-            true => self.queue.push_front(id.clone()),
-            false => self.queue.push_back(id.clone()),
+            true => self.origin.queue.push_front(id.clone()),
+            false => self.origin.queue.push_back(id.clone()),
         }
         self.hold(id, Role::Queued, until - expected);
     }
 
     fn fetch_queued(&mut self, now: Micros) {
-        while let (Some(origin), Some(id)) = (self.origin, self.queue.front().cloned()) {
+        while let (Some(origin), Some(id)) = (self.origin.node, self.origin.queue.front().cloned()) {
             match self.accesses.get(&id) {
                 Some(a) if a.role == Role::Queued && !self.origin_has_room(now, origin, a.write) => return,
                 Some(a) if a.role == Role::Queued => {
-                    self.queue.pop_front();
+                    self.origin.queue.pop_front();
                     self.unhold(&id);
                     self.hand_off(now, &id, origin);
                 }
-                _ => drop(self.queue.pop_front()),
+                _ => drop(self.origin.queue.pop_front()),
             }
         }
     }
 
-    /// A hand-off failed otherwise than by a miss.
-    fn after_failure(&mut self, now: Micros, id: &AccessId, node: usize) {
-        let Some(access) = self.accesses.get(id) else { return };
-        let at_origin = Some(node) == self.origin;
-        if !at_origin {
-            return self.ask_cache(now, id);
-        }
-        let pause = (self.origin_times.mean * PAUSE_SHARE * self.rng.random_range(0.5..1.5)) as Micros;
-        if now + pause + self.origin_times.expected() >= access.useful_until
-            || !self.may_hand_off(now, access, node)
-        {
-            return self.give_up(now, id);
-        }
-        // Danger: an origin in trouble gets each failed fetch again at once, and never recovers.
-        self.hold(id, Role::Pausing, now + pause);
-    }
-
     // ---- the rules, checked at one place just before a hand-off or a turn-back ----
 
     fn may_hand_off(&self, now: Micros, access: &Access, n: usize) -> bool {
@@ -534,8 +489,8 @@
 
     fn hand_off(&mut self, now: Micros, id: &AccessId, n: usize) {
         let Some(access) = self.accesses.get(id) else { return };
-        let at_origin = Some(n) == self.origin;
-        let times = if at_origin { &self.origin_times } else { &self.cache_times };
+        let at_origin = Some(n) == self.origin.node;
+        let times = if at_origin { &self.origin.times } else { &self.caches.times };
         let left = access.useful_until - now;
         let again = !access.hand_offs.is_empty();
         // A further hand-off only if the time left exceeds what it is expected to take.
@@ -550,10 +505,10 @@
         node.sent.add(now, self.settings.fall);
         node.in_flight += 1;
         if at_origin {
-            let space = self.origin_times.mean / self.fetches.min(1.0);
-            self.fetch_after = now + space as Micros;
+            let space = self.origin.times.mean / self.origin.most.min(1.0);
+            self.origin.after = now + space as Micros;
         } else {
-            self.in_flight += 1;
+            self.caches.in_flight += 1;
         }
         self.host.hand_off(id, &node.id, allow_for);
         if let Some(access) = self.accesses.get_mut(id) {
@@ -583,7 +538,6 @@
         let Some(mut join) = self.joins.remove(&access.key) else { return };
         let followers = std::mem::take(&mut join.followers);
         if honoured && !self.settings.aside {
-            self.served_order.push_back((now, access.key.clone()));
             self.joins.insert(access.key, Join { leader: None, node, served_at: now, ..join });
         }
         for follower in followers {
@@ -617,8 +571,9 @@
 
     fn arm(&mut self) {
         let held = self.held.first().map_or(Micros::MAX, |held| held.0);
-        let idle = self.origin.is_some_and(|o| self.nodes[o].in_flight == 0) && !self.queue.is_empty();
-        let fetch = if idle { self.fetch_after } else { Micros::MAX };
+        let idle =
+            self.origin.node.is_some_and(|o| self.nodes[o].in_flight == 0) && !self.origin.queue.is_empty();
+        let fetch = if idle { self.origin.after } else { Micros::MAX };
         let at = held.min(self.tell_at).min(self.list_due.unwrap_or(Micros::MAX)).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
@@ -631,19 +586,11 @@
             let role = self.accesses.get(&id).map_or(Role::Plain, |a| a.role);
             self.unhold(&id);
             match role {
-                Role::Following | Role::Pausing => self.alone(now, &id),
+                Role::Following => self.alone(now, &id),
                 _ => self.give_up(now, &id),
             }
         }
         self.fetch_queued(now);
-        while let Some((at, key)) = self.served_order.front()
-            && now - at >= SERVED_WINDOW
-        {
-            if self.joins.get(key).is_some_and(|j| j.leader.is_none() && j.served_at <= *at) {
-                self.joins.remove(key);
-            }
-            self.served_order.pop_front();
-        }
         if self.list_due.is_some_and(|at| at <= now) {
             self.host.watch_list();
             // Should no answer come, ask anew before what is listed counts as told.
@@ -659,26 +606,19 @@
     // ---- what is learned ----
 
     fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome, goal: Option<f64>) {
-        let at_origin = Some(n) == self.origin;
-        let is_cache = self.settings.origin_kind != Some(self.nodes[n].kind);
-        if is_cache {
-            self.in_flight = self.in_flight.saturating_sub(1);
-        }
-        let full_until = now + (self.cache_times.mean * FULL_SHARE) as Micros;
+        let at_origin = self.settings.origin_kind == Some(self.nodes[n].kind);
+        let (wait, sent_at) = (outcome.wait, now - outcome.wait);
+        let mean = self.caches.times.mean;
         let node = &mut self.nodes[n];
         node.in_flight = node.in_flight.saturating_sub(1);
-        if outcome.ending == Ending::Full {
-            node.full_until = full_until;
-        }
-        let sent_at = now - outcome.wait;
-        if outcome.ending == Ending::Honoured {
-            node.honoured.add(now, self.settings.fall);
-        }
         match outcome.ending {
             Ending::Honoured | Ending::Miss | Ending::Full | Ending::Error => {
-                node.heard_at = now;
-                node.strikes = 0;
-                node.skip_until = 0;
+                (node.heard_at, node.strikes, node.skip_until) = (now, 0, 0);
+                if outcome.ending == Ending::Full {
+                    node.full_until = now + (mean * FULL_SHARE) as Micros;
+                } else if outcome.ending == Ending::Honoured {
+                    node.honoured.add(now, self.settings.fall);
+                }
             }
             // Danger: a node that takes accesses and answers none; skipped here only, the table stands.
             Ending::TimedOut | Ending::Reset | Ending::ConnectFailed if node.heard_at <= sent_at => {
@@ -688,40 +628,41 @@
             _ => {}
         }
         if at_origin {
-            self.learn_origin(now, outcome);
-        } else if is_cache && !matches!(outcome.ending, Ending::CalledOff | Ending::NotSent) {
-            let answered = matches!(outcome.ending, Ending::Honoured | Ending::Miss);
-            if answered || outcome.ending == Ending::TimedOut {
-                self.cache_times.learn(outcome.wait, SMOOTHING);
-            }
-            let full = outcome.ending == Ending::Full;
-            let used = goal.map_or(self.goal_used, |goal| outcome.wait as f64 / goal.max(1.0));
-            self.goal_used += SMOOTHING * (if full { 1.0 } else { used } - self.goal_used);
-            if now - self.admit_at >= CONTROL {
-                self.admit_at = now;
-                let next =
-                    if self.goal_used > CROWDED { self.admit * ADMIT_FALL } else { self.admit + ADMIT_RISE };
-                self.admit = next.clamp(ADMIT_LEAST, 1.0);
-            }
+            return self.learn_origin(now, outcome);
+        }
+        self.caches.in_flight = self.caches.in_flight.saturating_sub(1);
+        let used = match outcome.ending {
+            Ending::CalledOff | Ending::NotSent => return,
+            Ending::Full => 1.0,
+            _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
+        };
+        if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
+            self.caches.times.learn(wait, SMOOTHING);
+        }
+        self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
+        if now - self.caches.admit_at >= CONTROL {
+            let (admit, crowded) = (self.caches.admit, self.caches.goal_used > CROWDED);
+            let next = if crowded { admit * ADMIT_FALL } else { admit + ADMIT_RISE };
+            (self.caches.admit, self.caches.admit_at) = (next.clamp(ADMIT_LEAST, 1.0), now);
         }
     }
 
     fn learn_origin(&mut self, now: Micros, outcome: &Outcome) {
         if outcome.ending == Ending::Honoured {
-            self.origin_times.learn(outcome.wait, SMOOTHING);
-            self.origin_best = (self.origin_best * BEST_DRIFT).min(self.origin_times.mean);
+            self.origin.times.learn(outcome.wait, SMOOTHING);
+            self.origin.best = (self.origin.best * BEST_DRIFT).min(self.origin.times.mean);
         }
         let strained = match outcome.ending {
-            Ending::Honoured => self.origin_times.mean > FETCH_SLOW * self.origin_best,
+            Ending::Honoured => self.origin.times.mean > FETCH_SLOW * self.origin.best,
             Ending::Miss | Ending::CalledOff | Ending::NotSent => return,
             _ => true,
         };
-        let used = self.origin.map_or(0, |o| self.nodes[o].in_flight + 1);
-        if !strained && f64::from(used) >= self.fetches / 2.0 {
-            self.fetches = (self.fetches + 1.0 / self.fetches.max(1.0)).min(FETCHES_MOST);
-        } else if strained && now - self.cut_at >= self.origin_times.expected() {
-            self.cut_at = now;
-            self.fetches = (self.fetches * FETCHES_CUT).max(FETCHES_LEAST);
+        let used = self.origin.node.map_or(0, |o| self.nodes[o].in_flight + 1);
+        if !strained && f64::from(used) >= self.origin.most / 2.0 {
+            self.origin.most = (self.origin.most + 1.0 / self.origin.most.max(1.0)).min(FETCHES_MOST);
+        } else if strained && now - self.origin.cut_at >= self.origin.times.expected() {
+            self.origin.cut_at = now;
+            self.origin.most = (self.origin.most * FETCHES_CUT).max(FETCHES_LEAST);
         }
     }
 
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,6 +1,7 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
 use crate::interface::{AccessId, Ending, Key, Micros, NodeId, Standing};
+use std::collections::VecDeque;
 
 /// One hand-off.
 pub(crate) struct HandOff {
@@ -17,8 +18,6 @@
     Following,
     /// In the queue before the origin.
     Queued,
-    /// Waiting a moment before another fetch.
-    Pausing,
 }
 
 /// One access, until its final answer.
@@ -81,7 +80,34 @@
     pub filled_at: Micros,
 }
 
+/// What is known of the caches as one.
+#[derive(Default)]
+pub(crate) struct Caches {
+    pub ready: usize,
+    pub in_flight: u32,
+    pub times: Times,
+    /// Share of its own goal time that an answer takes, on the mean.
+    pub goal_used: f64,
+    /// Share of reads admitted.
+    pub admit: f64,
+    pub admit_at: Micros,
+}
+
+/// What is known of the origin.
+#[derive(Default)]
+pub(crate) struct Origin {
+    pub node: Option<usize>,
+    pub times: Times,
+    pub best: f64,
+    /// Fetches that may be out at once; under one they are spaced out.
+    pub most: f64,
+    pub cut_at: Micros,
+    pub after: Micros,
+    pub queue: VecDeque<AccessId>,
+}
+
 /// Times of answers: mean and mean deviation.
+#[derive(Default)]
 pub(crate) struct Times {
     pub mean: f64,
     pub deviation: f64,
