--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -20,8 +20,10 @@
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
+const NODE_SMOOTHING: f64 = 0.2; // the same for one node, which answers more seldom
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
+const BEARABLE: f64 = 0.6; // of an access's goal time; a node that takes longer on the mean is passed over
 const FULL_SHARE: f64 = 0.3; // of the mean answer time; how long a full node is passed over: one place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
@@ -317,7 +319,12 @@
         let mut pair = ranks.iter().map(|&n| n as usize).filter(takes).take(2).peekable();
         let there = pair.peek().is_some();
         let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
-        let mut open = pair.filter(|&n| !tried(n) && now >= self.nodes[n].full_until);
+        let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
+        let mut open = pair.filter(|&n| {
+            let node = &self.nodes[n];
+            // Danger: a crowded node is sent more than it can answer in time; with none of ours out, one may try.
+            !tried(n) && now >= node.full_until && (node.in_flight == 0 || node.mean < bearable)
+        });
         let home = open.next().ok_or(there)?;
         let load = self.nodes[home].in_flight;
         let mean = f64::from(self.caches.in_flight) / self.caches.ready.max(1) as f64;
@@ -637,6 +644,7 @@
             _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
         };
         if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
+            node.mean += NODE_SMOOTHING * (wait as f64 - node.mean);
             self.caches.times.learn(wait, SMOOTHING);
         }
         self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -67,6 +67,8 @@
     pub strikes: u32,
     pub skip_until: Micros,
     pub full_until: Micros,
+    /// Its mean answer time.
+    pub mean: f64,
     /// Sent to it, and honoured by it, lately.
     pub sent: Pace,
     pub honoured: Pace,
