--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -45,6 +45,7 @@
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
 const TELL_EVERY: Micros = 1_000_000; // us; between reports of our arrivals to peers, where shares need them
+const PART_SMOOTHING: f64 = 0.3; // weight of a report; some three make our part of a tenant's arrivals
 const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
 const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses in flight at a node beyond which surplus ones are turned back
@@ -107,25 +108,14 @@
         };
         let stretch = case.goal_stretch * arrival.work.unwrap_or(0) as f64;
         let goal = (now + case.goal_time + stretch as Micros).min(arrival.outer_limit);
-        let id = arrival.id;
-        let access = Access {
-            use_case: arrival.use_case,
-            key: arrival.key.unwrap_or_else(|| id.clone()),
-            write: arrival.write,
-            arrived: now,
-            outer_limit: arrival.outer_limit,
-            useful_until: if case.late_share > 0.0 { arrival.outer_limit } else { goal },
-            hand_offs: Vec::new(),
-            missed_at: None,
-            role: Role::Plain,
-            due: 0,
-        };
-        let (key, write) = (access.key.clone(), access.write);
+        let useful_until = if case.late_share > 0.0 { arrival.outer_limit } else { goal };
+        let (id, tenant, write) = (arrival.id.clone(), arrival.tenant, arrival.write);
+        let access = Access::new(arrival, now, useful_until);
+        let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
-        if self.surplus(now, arrival.tenant) && !self.idle_home(now, &id) {
-            return self.give_up(now, &id);
-        }
-        if write {
+        if self.surplus(now, tenant) && !self.idle_home(now, &id) {
+            self.give_up(now, &id);
+        } else if write {
             self.write_passes(now, &id, &key);
         } else if self.caches.admit < 1.0 && self.rng.random::<f64>() >= self.caches.admit {
             // Danger: crowded nodes slow down, their answers come too late, and clients come again.
@@ -175,16 +165,14 @@
     /// The list, or a part of it.
     pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
-            let wait = LIST_RETRY << self.list_failures.min(LIST_RETRY_MOST);
-            self.list_failures += 1;
             // Danger: all instances calling at once, and again at once, keep the list service overbooked.
-            let jitter = self.rng.random_range(0.5..1.5);
-            self.list_due = self.settings.list_on_request.then_some(now + (wait as f64 * jitter) as Micros);
+            let wait = LIST_RETRY << self.list_failures.min(LIST_RETRY_MOST);
+            let at = now + (wait as f64 * self.rng.random_range(0.5..1.5)) as Micros;
+            (self.list_failures, self.list_due) = (self.list_failures + 1, self.list_due.map(|_| at));
             return self.arm();
         }
         if kind != ListKind::Kept && self.settings.list_on_request {
-            self.list_failures = 0;
-            self.list_due = None;
+            (self.list_failures, self.list_due) = (0, Some(Micros::MAX));
         }
         if kind != ListKind::Changes {
             for node in &mut self.nodes {
@@ -266,26 +254,18 @@
 
     /// Share of its capacity that a node surely has.
     fn warmth(&self, now: Micros, n: usize) -> f64 {
-        let age = now - self.nodes[n].started_at;
-        if self.nodes[n].started_at <= 0 || age >= self.settings.ramp_time {
-            return 1.0;
-        }
-        let start = self.settings.start_capacity;
-        start + (1.0 - start) * age.max(0) as f64 / self.settings.ramp_time as f64
+        let (node, start) = (&self.nodes[n], self.settings.start_capacity);
+        let age = (now - node.started_at).max(0) as f64 / self.settings.ramp_time.max(1) as f64;
+        if node.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
     }
 
     /// Whether a cache node may get an access of this slot now.
     fn takes(&self, now: Micros, n: usize, slot: usize) -> bool {
         let node = &self.nodes[n];
-        if !self.is_cache(n) || now < node.skip_until {
-            return false;
-        }
-        // Danger: a node that comes back wrongly trusted swallows a burst; risk one access at a time.
-        if node.strikes > 0 && node.in_flight > 0 {
-            return false;
-        }
+        // Danger: a node that comes back wrongly trusted swallows a burst; it is risked one access at a time.
+        let trusted = now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
         let warmth = self.warmth(now, n);
-        warmth >= 1.0 || self.cold_takes(now, n, slot, warmth)
+        self.is_cache(n) && trusted && (warmth >= 1.0 || self.cold_takes(now, n, slot, warmth))
     }
 
     /// Danger: a cold node gets the full load of its keys, or the origin all its misses at once. It gets keys
@@ -298,14 +278,16 @@
         {
             return false;
         }
-        let (mut taken, mut size) = (0.0, 0.0);
-        for warm in (0..self.nodes.len()).filter(|&o| self.is_cache(o) && self.warmth(now, o) >= 1.0) {
-            // Danger: in an overload warm nodes are sent far more than they can do, and misses cost them little;
-            // only what they honoured tells what a node like them can do.
-            taken += self.nodes[warm].honoured.now(now, self.settings.fall);
-            size += self.nodes[warm].size;
+        // Danger: in an overload warm nodes are sent far more than they can do, and misses cost them little;
+        // only what they honoured tells what a node like them can do.
+        let (mut honoured, mut size) = (0.0, 0.0);
+        for (o, warm) in self.nodes.iter().enumerate().filter(|&(o, _)| self.is_cache(o)) {
+            if self.warmth(now, o) >= 1.0 {
+                honoured += warm.honoured.now(now, self.settings.fall);
+                size += warm.size;
+            }
         }
-        let fair = if size > 0.0 { taken / size } else { 0.0 };
+        let fair = if size > 0.0 { honoured / size } else { 0.0 };
         node.sent.now(now, self.settings.fall) < fair * node.size * warmth + COLD_SLACK
     }
 
@@ -334,8 +316,6 @@
         Ok(open.next().filter(|&spare| self.nodes[spare].in_flight < load).unwrap_or(home))
     }
 
-    // ---- reads and writes ----
-
     fn ask_cache(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
         match self.choose(now, access) {
@@ -434,23 +414,21 @@
         if now + expected + (expected as f64 * ahead) as Micros > until {
             return self.give_up(now, id);
         }
-        match write {
-            true => self.origin.queue.push_front(id.clone()),
-            false => self.origin.queue.push_back(id.clone()),
-        }
+        let place = if write { 0 } else { self.origin.queue.len() };
+        self.origin.queue.insert(place, id.clone());
         self.hold(id, Role::Queued, until - expected);
     }
 
     fn fetch_queued(&mut self, now: Micros) {
         while let (Some(origin), Some(id)) = (self.origin.node, self.origin.queue.front().cloned()) {
-            match self.accesses.get(&id) {
-                Some(a) if a.role == Role::Queued && !self.origin_has_room(now, origin, a.write) => return,
-                Some(a) if a.role == Role::Queued => {
-                    self.origin.queue.pop_front();
-                    self.unhold(&id);
-                    self.hand_off(now, &id, origin);
-                }
-                _ => drop(self.origin.queue.pop_front()),
+            let queued = self.accesses.get(&id).filter(|a| a.role == Role::Queued).map(|a| a.write);
+            if queued.is_some_and(|write| !self.origin_has_room(now, origin, write)) {
+                return;
+            }
+            self.origin.queue.pop_front();
+            if queued.is_some() {
+                self.unhold(&id);
+                self.hand_off(now, &id, origin);
             }
         }
     }
@@ -472,14 +450,12 @@
         match case.effect {
             Effect::Replayable => true,
             Effect::SingleUse => false,
-            Effect::Referenced => {
-                now < first.sent_at + case.memory
-                    && match case.group {
-                        Group::All => true,
-                        Group::Zone => node.zone == earlier.zone,
-                        Group::Cell => node.cell == earlier.cell,
-                    }
-            }
+            Effect::Referenced if now >= first.sent_at + case.memory => false,
+            Effect::Referenced => match case.group {
+                Group::All => true,
+                Group::Zone => node.zone == earlier.zone,
+                Group::Cell => node.cell == earlier.cell,
+            },
         }
     }
 
@@ -557,8 +533,6 @@
         }
     }
 
-    // ---- what is held, and the one timer ----
-
     fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
         if let Some(access) = self.accesses.get_mut(id) {
             (access.role, access.due) = (role, until);
@@ -610,8 +584,6 @@
         self.arm();
     }
 
-    // ---- what is learned ----
-
     fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome, goal: Option<f64>) {
         let at_origin = self.settings.origin_kind == Some(self.nodes[n].kind);
         let (wait, sent_at) = (outcome.wait, now - outcome.wait);
@@ -676,8 +648,6 @@
         }
     }
 
-    // ---- fair shares ----
-
     /// Whether this arrival lies beyond its tenant's share, as far as this proxy's part of it goes.
     fn surplus(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
@@ -687,16 +657,14 @@
         t.allowance = (t.allowance + rate * (now - t.filled_at) as f64 / 1e6).min(rate.max(1.0));
         t.filled_at = now;
         let within = t.allowance >= 1.0;
-        if within {
-            t.allowance -= 1.0;
-        }
+        t.allowance -= f64::from(u8::from(within));
         !within
     }
 
     /// Surplus accesses get only what would idle otherwise.
     fn idle_home(&self, now: Micros, id: &AccessId) -> bool {
-        let node = self.accesses.get(id).map(|a| self.choose(now, a));
-        matches!(node, Some(Ok(n)) if self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
+        matches!(self.accesses.get(id).map(|a| self.choose(now, a)),
+            Some(Ok(n)) if self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
     }
 
     /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
@@ -704,15 +672,12 @@
         self.peers.retain(|_, (at, _)| now - *at < TELL_STALE);
         let counts: Vec<String> = self.tenants.iter().map(|t| t.arrivals.to_string()).collect();
         self.host.tell_all(&format!("a {}", counts.join(",")));
-        let fleet = f64::from(self.settings.fleet_size.max(1));
         for (i, tenant) in self.tenants.iter_mut().enumerate() {
-            let own = f64::from(tenant.arrivals);
-            let theirs: f64 = self.peers.values().map(|(_, c)| f64::from(c[i])).sum();
-            let part = if own + theirs > 0.0 { own / (own + theirs) } else { 1.0 / fleet };
-            if !self.peers.is_empty() {
-                tenant.part += SMOOTHING * 3.0 * (part - tenant.part);
+            let own = f64::from(std::mem::take(&mut tenant.arrivals));
+            let all: f64 = own + self.peers.values().map(|(_, c)| f64::from(c[i])).sum::<f64>();
+            if !self.peers.is_empty() && all > 0.0 {
+                tenant.part += PART_SMOOTHING * (own / all - tenant.part);
             }
-            tenant.arrivals = 0;
         }
     }
 }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,6 +1,6 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
-use crate::interface::{AccessId, Ending, Key, Micros, NodeId, Standing};
+use crate::interface::{AccessId, Arrival, Ending, Key, Micros, NodeId, Standing};
 use std::collections::VecDeque;
 
 /// One hand-off.
@@ -38,6 +38,20 @@
 }
 
 impl Access {
+    pub fn new(arrival: Arrival, arrived: Micros, useful_until: Micros) -> Self {
+        Access {
+            use_case: arrival.use_case,
+            key: arrival.key.unwrap_or(arrival.id),
+            write: arrival.write,
+            arrived,
+            outer_limit: arrival.outer_limit,
+            useful_until,
+            hand_offs: Vec::new(),
+            missed_at: None,
+            role: Role::Plain,
+            due: 0,
+        }
+    }
     /// The first hand-off that may have run, or still may.
     pub fn may_have_run(&self) -> Option<&HandOff> {
         self.hand_offs.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()))
