--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -20,16 +20,15 @@
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
-const NODE_SMOOTHING: f64 = 0.2; // the same for one node, which answers more seldom
+const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a peer's report
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
 const BEARABLE: f64 = 0.35; // of an access's goal time; a node that takes longer on the mean is passed over
-const FULL_SHARE: f64 = 0.3; // of the mean answer time; how long a full node is passed over: one place frees up
+const FULL_SHARE: f64 = 0.3; // of the mean answer time; a full node is passed over while a place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
 const FETCHES_FIRST: f64 = 4.0; // fetches out; start value, before the origin's answers teach better
-const FETCHES_MOST: f64 = 256.0; // hand-offs out; bounds what a quiet spell can teach
-const FETCHES_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out, many proxies share a weak origin
+const FETCHES_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out; many share a weak origin
 const FETCHES_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
@@ -45,10 +44,9 @@
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
 const TELL_EVERY: Micros = 1_000_000; // us; between reports of our arrivals to peers, where shares need them
-const PART_SMOOTHING: f64 = 0.3; // weight of a report; some three make our part of a tenant's arrivals
 const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
-const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses in flight at a node beyond which surplus ones are turned back
+const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses at a node from which on surplus ones are turned back
 const WAKE: u64 = 0; // the one timer label
 const NOBODY: u16 = u16::MAX; // a slot rank without a node
 
@@ -113,7 +111,7 @@
         let access = Access::new(arrival, now, useful_until);
         let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
-        if self.surplus(now, tenant) && !self.idle_home(now, &id) {
+        if self.surplus(now, tenant, &id) {
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
@@ -234,11 +232,10 @@
         self.caches.ready = ready.len();
         let seeds: Vec<(usize, u64, f64)> =
             ready.iter().map(|&n| (n, hash(&self.nodes[n].id), self.nodes[n].size)).collect();
-        let mut ranked: Vec<(f64, usize)> = Vec::with_capacity(ready.len());
         self.slots.clear();
         for slot in 0..SLOTS as u64 {
-            ranked.clear();
-            ranked.extend(seeds.iter().map(|&(n, h, size)| (-unit(mix(h ^ mix(slot + 1))).ln() / size, n)));
+            let score = |h: u64, size: f64| -unit(mix(h ^ mix(slot + 1))).ln() / size;
+            let mut ranked: Vec<_> = seeds.iter().map(|&(n, h, size)| (score(h, size), n)).collect();
             ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
             let mut ranks = [NOBODY; RANKS];
             for (rank, &(_, n)) in ranks.iter_mut().zip(&ranked) {
@@ -268,8 +265,8 @@
         self.is_cache(n) && trusted && (warmth >= 1.0 || self.cold_takes(now, n, slot, warmth))
     }
 
-    /// Danger: a cold node gets the full load of its keys, or the origin all its misses at once. It gets keys
-    /// slot by slot as it warms, in the proxies' turns while fresh, and never above what warm nodes take.
+    /// Danger: a cold node gets all its keys, or the origin all its misses, at once. It gets slots
+    /// as it warms, in the proxies' turns while fresh, and never more than a like warm node could do.
     fn cold_takes(&self, now: Micros, n: usize, slot: usize, warmth: f64) -> bool {
         let node = &self.nodes[n];
         let fresh = now - node.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
@@ -278,8 +275,7 @@
         {
             return false;
         }
-        // Danger: in an overload warm nodes are sent far more than they can do, and misses cost them little;
-        // only what they honoured tells what a node like them can do.
+        // In an overload warm nodes are sent too much, and misses cost little: what they honoured counts.
         let (mut honoured, mut size) = (0.0, 0.0);
         for (o, warm) in self.nodes.iter().enumerate().filter(|&(o, _)| self.is_cache(o)) {
             if self.warmth(now, o) >= 1.0 {
@@ -297,14 +293,16 @@
         let slot = hash(&access.key) as usize % SLOTS;
         let Some(ranks) = self.slots.get(slot) else { return Err(false) };
         let takes = |&n: &usize| n != NOBODY as usize && self.takes(now, n, slot);
-        // Danger: past home and spare nobody holds the key; in a burst each refusal would become a fetch.
-        let mut pair = ranks.iter().map(|&n| n as usize).filter(takes).take(2).peekable();
+        // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
+        // refusal would become a fetch, and with no room at the origin a turn-back.
+        let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
+        let mut pair = ranks.iter().map(|&n| n as usize).filter(takes).take(1 + usize::from(room)).peekable();
         let there = pair.peek().is_some();
         let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = pair.filter(|&n| {
             let node = &self.nodes[n];
-            // Danger: a crowded node is sent more than it can answer in time; with none of ours out, one may try.
+            // Danger: a crowded node is sent more than it answers in time; with none of ours out, one tries.
             !tried(n) && now >= node.full_until && (node.in_flight == 0 || node.mean < bearable)
         });
         let home = open.next().ok_or(there)?;
@@ -409,7 +407,7 @@
         if self.origin_has_room(now, origin, write) {
             return self.hand_off(now, id, origin);
         }
-        // Danger: an origin that goes on with work nobody waits for stays full of it, writes and their repeats too.
+        // Danger: an origin that goes on with work nobody waits for stays full of it, repeated writes too.
         let ahead = if write { 1.0 } else { (self.origin.queue.len() + 1) as f64 } / self.origin.most;
         if now + expected + (expected as f64 * ahead) as Micros > until {
             return self.give_up(now, id);
@@ -481,8 +479,7 @@
             return self.give_up(now, id);
         }
         let goal = self.settings.use_cases[access.use_case].goal_time as f64;
-        let patience =
-            ((times.mean + PATIENCE * times.deviation) as Micros).max((goal * PATIENCE_FLOOR) as Micros);
+        let patience = (times.mean + PATIENCE * times.deviation).max(goal * PATIENCE_FLOOR) as Micros;
         let allow_for = if at_origin || access.write { left } else { patience.min(left) };
         let node = &mut self.nodes[n];
         node.sent.add(now, self.settings.fall);
@@ -501,10 +498,9 @@
 
     fn give_up(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
-        if self.may_turn_back(now, access) {
-            self.host.turn_back(id, STAY_AWAY.min(self.settings.max_stay_away));
-        } else {
-            self.host.break_off(id);
+        match self.may_turn_back(now, access) {
+            true => self.host.turn_back(id, STAY_AWAY.min(self.settings.max_stay_away)),
+            false => self.host.break_off(id),
         }
         self.finish(now, id, false, 0);
     }
@@ -514,14 +510,13 @@
         self.unhold(id);
         let Some(access) = self.accesses.remove(id) else { return };
         let node = access.missed_at.unwrap_or(node);
-        let leads = self.joins.get(&access.key).is_some_and(|j| j.leader.as_ref() == Some(id));
-        if !leads {
+        if self.joins.get(&access.key).and_then(|j| j.leader.as_ref()) != Some(id) {
             return;
         }
-        let Some(mut join) = self.joins.remove(&access.key) else { return };
-        let followers = std::mem::take(&mut join.followers);
+        let followers = self.joins.remove(&access.key).map_or(Vec::new(), |j| j.followers);
         if honoured && !self.settings.aside {
-            self.joins.insert(access.key, Join { leader: None, node, served_at: now, ..join });
+            let served = Join { leader: None, node, followers: Vec::new(), served_at: now };
+            self.joins.insert(access.key, served);
         }
         for follower in followers {
             self.unhold(&follower);
@@ -622,7 +617,7 @@
         self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
         if now - self.caches.admit_at >= CONTROL {
             let (admit, crowded) = (self.caches.admit, self.caches.goal_used > CROWDED);
-            // Danger: a proxy that admits little learns little; by answers alone it would shut itself off for long.
+            // Danger: a proxy that admits little learns little; by answers alone it would stay shut for long.
             let rise = ADMIT_RISE * ((now - self.caches.admit_at) / CONTROL) as f64;
             let next = if crowded { admit * ADMIT_FALL } else { admit + rise };
             (self.caches.admit, self.caches.admit_at) = (next.clamp(ADMIT_LEAST, 1.0), now);
@@ -641,30 +636,25 @@
         };
         let used = self.origin.node.map_or(0, |o| self.nodes[o].in_flight + 1);
         if !strained && f64::from(used) >= self.origin.most / 2.0 {
-            self.origin.most = (self.origin.most + 1.0 / self.origin.most.max(1.0)).min(FETCHES_MOST);
+            self.origin.most += 1.0 / self.origin.most.max(1.0);
         } else if strained && now - self.origin.cut_at >= self.origin.times.expected() {
             self.origin.cut_at = now;
             self.origin.most = (self.origin.most * FETCHES_CUT).max(FETCHES_LEAST);
         }
     }
 
-    /// Whether this arrival lies beyond its tenant's share, as far as this proxy's part of it goes.
-    fn surplus(&mut self, now: Micros, tenant: usize) -> bool {
+    /// Whether this arrival lies beyond our part of its tenant's share and would not find an idle node.
+    fn surplus(&mut self, now: Micros, tenant: usize, id: &AccessId) -> bool {
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
-        let Some(t) = self.tenants.get_mut(tenant) else { return false };
+        let t = &mut self.tenants[tenant];
         t.arrivals += 1;
         let rate = quota * t.part;
         t.allowance = (t.allowance + rate * (now - t.filled_at) as f64 / 1e6).min(rate.max(1.0));
         t.filled_at = now;
         let within = t.allowance >= 1.0;
         t.allowance -= f64::from(u8::from(within));
-        !within
-    }
-
-    /// Surplus accesses get only what would idle otherwise.
-    fn idle_home(&self, now: Micros, id: &AccessId) -> bool {
-        matches!(self.accesses.get(id).map(|a| self.choose(now, a)),
-            Some(Ok(n)) if self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
+        let node = self.accesses.get(id).map(|a| self.choose(now, a));
+        !within && !matches!(node, Some(Ok(n)) if self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
     }
 
     /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
@@ -676,7 +666,7 @@
             let own = f64::from(std::mem::take(&mut tenant.arrivals));
             let all: f64 = own + self.peers.values().map(|(_, c)| f64::from(c[i])).sum::<f64>();
             if !self.peers.is_empty() && all > 0.0 {
-                tenant.part += PART_SMOOTHING * (own / all - tenant.part);
+                tenant.part += NODE_SMOOTHING * (own / all - tenant.part);
             }
         }
     }
