--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -115,7 +115,10 @@
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
-        } else if self.caches.admit < 1.0 && self.rng.random::<f64>() >= self.caches.admit {
+        } else if self.caches.admit < 1.0
+            && self.rng.random::<f64>() >= self.caches.admit
+            && self.sure_to_crowd(now, &id)
+        {
             // Danger: crowded nodes slow down, their answers come too late, and clients come again.
             self.give_up(now, &id);
         } else if self.settings.aside {
@@ -287,6 +290,12 @@
         node.sent.now(now, self.settings.fall) < fair * node.size * warmth + COLD_SLACK
     }
 
+    /// Danger: a few hot nodes would turn back what idle ones could answer.
+    fn sure_to_crowd(&self, now: Micros, id: &AccessId) -> bool {
+        let node = self.accesses.get(id).map(|a| self.choose(now, a));
+        !matches!(node, Some(Ok(n)) if self.nodes[n].goal_used < CROWDED)
+    }
+
     /// The home, or the spare when the home has more than its part of our own accesses in flight. `Err` tells
     /// whether caches that take the key are there at all.
     fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
@@ -610,6 +619,7 @@
             Ending::Full => 1.0,
             _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
         };
+        node.goal_used += NODE_SMOOTHING * (used - node.goal_used);
         if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
             node.mean += NODE_SMOOTHING * (wait as f64 - node.mean);
             self.caches.times.learn(wait, SMOOTHING);
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -81,7 +81,8 @@
     pub strikes: u32,
     pub skip_until: Micros,
     pub full_until: Micros,
-    /// Its mean answer time.
+    /// Its mean answer time, and the share of their goal time that its answers use up.
+    pub goal_used: f64,
     pub mean: f64,
     /// Sent to it, and honoured by it, lately.
     pub sent: Pace,
