--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -115,11 +115,11 @@
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
-        } else if self.caches.admit < 1.0
-            && self.rng.random::<f64>() >= self.caches.admit
-            && self.sure_to_crowd(now, &id)
+        } else if self.rng.random::<f64>() >= self.caches.admit
+            && self.target(now, &id).is_none_or(|node| node.goal_used >= CROWDED)
         {
-            // Danger: crowded nodes slow down, their answers come too late, and clients come again.
+            // Danger: crowded nodes answer late and clients come again; by the mean alone, a few hot nodes
+            // would turn back what idle ones could answer.
             self.give_up(now, &id);
         } else if self.settings.aside {
             self.ask_cache(now, &id);
@@ -223,8 +223,8 @@
             node.started_at = entry.started_at;
             (node.strikes, node.skip_until, node.sent) = (0, 0, Pace::default());
         }
-        node.standing = entry.standing;
-        (node.zone, node.kind, node.cell) = (entry.zone, entry.kind, entry.cell);
+        (node.zone, node.kind, node.cell, node.standing) =
+            (entry.zone, entry.kind, entry.cell, entry.standing);
         node.size = if self.settings.sizes_declared && entry.size > 0.0 { entry.size } else { 1.0 };
     }
 
@@ -290,10 +290,9 @@
         node.sent.now(now, self.settings.fall) < fair * node.size * warmth + COLD_SLACK
     }
 
-    /// Danger: a few hot nodes would turn back what idle ones could answer.
-    fn sure_to_crowd(&self, now: Micros, id: &AccessId) -> bool {
-        let node = self.accesses.get(id).map(|a| self.choose(now, a));
-        !matches!(node, Some(Ok(n)) if self.nodes[n].goal_used < CROWDED)
+    /// The cache node that the access would go to.
+    fn target(&self, now: Micros, id: &AccessId) -> Option<&Node> {
+        self.choose(now, self.accesses.get(id)?).ok().map(|n| &self.nodes[n])
     }
 
     /// The home, or the spare when the home has more than its part of our own accesses in flight. `Err` tells
@@ -307,12 +306,11 @@
         let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
         let mut pair = ranks.iter().map(|&n| n as usize).filter(takes).take(1 + usize::from(room)).peekable();
         let there = pair.peek().is_some();
-        let tried = |n: usize| access.hand_offs.iter().any(|h| h.node == n);
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = pair.filter(|&n| {
             let node = &self.nodes[n];
             // Danger: a crowded node is sent more than it answers in time; with none of ours out, one tries.
-            !tried(n) && now >= node.full_until && (node.in_flight == 0 || node.mean < bearable)
+            !access.tried(n) && now >= node.full_until && (node.in_flight == 0 || node.mean < bearable)
         });
         let home = open.next().ok_or(there)?;
         let load = self.nodes[home].in_flight;
@@ -336,13 +334,12 @@
     fn write_passes(&mut self, now: Micros, id: &AccessId, key: &Key) {
         let ended = self.joins.remove(key);
         self.alone(now, id);
-        if let Some(join) = ended {
-            for follower in join.followers {
-                self.unhold(&follower);
-                match self.settings.aside {
-                    true => self.missed(now, &follower, join.node),
-                    false => self.read_through(now, &follower, key.clone()),
-                }
+        let Some(join) = ended else { return };
+        for follower in join.followers {
+            self.unhold(&follower);
+            match self.settings.aside {
+                true => self.missed(now, &follower, join.node),
+                false => self.read_through(now, &follower, key.clone()),
             }
         }
     }
@@ -368,7 +365,7 @@
         if access.write || !self.settings.aside {
             return self.ask_cache(now, id);
         }
-        if self.joins.get(&key).is_some_and(|j| j.leader.is_some()) {
+        if self.joins.contains_key(&key) {
             return self.follow(now, id, key);
         }
         self.lead(now, id, key, node);
@@ -453,27 +450,22 @@
             return false;
         }
         let Some(first) = access.may_have_run() else { return true };
-        let earlier = &self.nodes[first.node];
         match case.effect {
             Effect::Replayable => true,
             Effect::SingleUse => false,
             Effect::Referenced if now >= first.sent_at + case.memory => false,
-            Effect::Referenced => match case.group {
-                Group::All => true,
-                Group::Zone => node.zone == earlier.zone,
-                Group::Cell => node.cell == earlier.cell,
-            },
+            Effect::Referenced => node.in_group(&self.nodes[first.node], case.group),
         }
     }
 
     fn may_turn_back(&self, now: Micros, access: &Access) -> bool {
         let case = &self.settings.use_cases[access.use_case];
-        match (case.effect, access.may_have_run()) {
-            (Effect::Replayable, _) | (_, None) => true,
-            (Effect::SingleUse, _) => false,
-            (Effect::Referenced, Some(first)) => {
+        match access.may_have_run() {
+            Some(first) if case.effect == Effect::Referenced => {
                 case.group == Group::All && first.ending.is_some() && now < first.sent_at + case.memory
             }
+            Some(_) => case.effect == Effect::Replayable,
+            None => true,
         }
     }
 
@@ -482,9 +474,11 @@
         let at_origin = Some(n) == self.origin.node;
         let times = if at_origin { &self.origin.times } else { &self.caches.times };
         let left = access.useful_until - now;
-        let again = !access.hand_offs.is_empty();
         // A further hand-off only if the time left exceeds what it is expected to take.
-        if !self.may_hand_off(now, access, n) || again && left <= times.expected() || left <= 0 {
+        if !self.may_hand_off(now, access, n)
+            || !access.hand_offs.is_empty() && left <= times.expected()
+            || left <= 0
+        {
             return self.give_up(now, id);
         }
         let goal = self.settings.use_cases[access.use_case].goal_time as f64;
@@ -658,13 +652,8 @@
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
         let t = &mut self.tenants[tenant];
         t.arrivals += 1;
-        let rate = quota * t.part;
-        t.allowance = (t.allowance + rate * (now - t.filled_at) as f64 / 1e6).min(rate.max(1.0));
-        t.filled_at = now;
-        let within = t.allowance >= 1.0;
-        t.allowance -= f64::from(u8::from(within));
-        let node = self.accesses.get(id).map(|a| self.choose(now, a));
-        !within && !matches!(node, Some(Ok(n)) if self.nodes[n].in_flight < SURPLUS_IN_FLIGHT)
+        let within = t.take(now, quota * t.part);
+        !within && self.target(now, id).is_none_or(|n| n.in_flight >= SURPLUS_IN_FLIGHT)
     }
 
     /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,6 +1,6 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
-use crate::interface::{AccessId, Arrival, Ending, Key, Micros, NodeId, Standing};
+use crate::interface::{AccessId, Arrival, Ending, Group, Key, Micros, NodeId, Standing};
 use std::collections::VecDeque;
 
 /// One hand-off.
@@ -52,6 +52,9 @@
             due: 0,
         }
     }
+    pub fn tried(&self, node: usize) -> bool {
+        self.hand_offs.iter().any(|h| h.node == node)
+    }
     /// The first hand-off that may have run, or still may.
     pub fn may_have_run(&self) -> Option<&HandOff> {
         self.hand_offs.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()))
@@ -89,6 +92,16 @@
     pub honoured: Pace,
 }
 
+impl Node {
+    pub fn in_group(&self, other: &Node, group: Group) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone == other.zone,
+            Group::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 /// A tenant's arrivals here and its allowance.
 pub(crate) struct Tenant {
     pub arrivals: u32,
@@ -123,6 +136,17 @@
     pub queue: VecDeque<AccessId>,
 }
 
+impl Tenant {
+    /// Takes one from the allowance, which refills at `rate` a second and holds a second's worth.
+    pub fn take(&mut self, now: Micros, rate: f64) -> bool {
+        self.allowance = (self.allowance + rate * (now - self.filled_at) as f64 / 1e6).min(rate.max(1.0));
+        self.filled_at = now;
+        let within = self.allowance >= 1.0;
+        self.allowance -= f64::from(u8::from(within));
+        within
+    }
+}
+
 /// Times of answers: mean and mean deviation.
 #[derive(Default)]
 pub(crate) struct Times {
