--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -22,8 +22,6 @@
     fn watch_list(&mut self);
     /// Sends a short message to every peer.
     fn tell_all(&mut self, body: &str);
-    /// Leaves a line in the host's log.
-    fn note(&mut self, line: &str);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +49,6 @@
     pub goal_stretch: f64,
     /// Share of the earnings still paid after the goal time.
     pub late_share: f64,
-    pub earnings: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -152,8 +149,4 @@
     pub wait: Micros,
     /// The access is over, by this outcome or before it.
     pub settled: bool,
-    /// A miss while this cache node has told another access to fetch the key.
-    pub fetch_elsewhere: bool,
-    /// Accesses waiting at the node, where it tells.
-    pub waiting: Option<f64>,
 }
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -199,3 +199,22 @@
     play.pass(3 * SECOND);
     assert!(play.world.0.borrow().watches >= 1);
 }
+
+/// A few slow nodes raised the mean and idle nodes' reads were turned back; and a slow home kept its reads.
+#[test]
+fn a_slow_node_is_passed_over_and_idle_ones_still_get_theirs() {
+    let mut play = Play::new(settings(), 6);
+    let first = play.arrive(0, "k", false);
+    let slow = play.node_of(&first);
+    play.end(&first, Ending::Honoured);
+    for n in 0..120 {
+        let id = play.arrive(0, &format!("k{n}"), false);
+        assert_ne!(play.answer(&id), Some("turned back"), "only the slow node is crowded");
+        let wait = if play.node_of(&id) == slow { 170 } else { 5 };
+        play.pass(wait * MS);
+        play.end(&id, Ending::Honoured);
+    }
+    let (one, two) = (play.arrive(0, "k", false), play.arrive(0, "k", false));
+    assert_eq!(play.node_of(&one), slow, "with none of ours out, one tries");
+    assert_ne!(play.node_of(&two), slow);
+}
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -105,12 +105,11 @@
     fn tell_all(&mut self, body: &str) {
         self.0.borrow_mut().messages.push(body.to_owned());
     }
-    fn note(&mut self, _: &str) {}
 }
 
 pub fn use_case(effect: Effect, group: Group) -> UseCase {
     let (goal_time, memory) = (600 * MS, 300 * MS);
-    UseCase { effect, group, memory, goal_time, goal_stretch: 0.0, late_share: 0.0, earnings: 1.0 }
+    UseCase { effect, group, memory, goal_time, goal_stretch: 0.0, late_share: 0.0 }
 }
 
 pub fn settings() -> Settings {
@@ -210,7 +209,7 @@
             }
             (node, number, wait, access.answer.is_some())
         };
-        let outcome = Outcome { number, ending, wait, settled, fetch_elsewhere: false, waiting: None };
+        let outcome = Outcome { number, ending, wait, settled };
         self.policy.outcome(now, id, &node, outcome);
     }
     /// Lets time pass; timers and time-outs come when due.
--- a/crates/flintwell-simhost/src/settings.rs
+++ b/crates/flintwell-simhost/src/settings.rs
@@ -42,7 +42,6 @@
         goal_time: need("/goal_time")?,
         goal_stretch: number(value, "/aim_stretch").unwrap_or(0.0),
         late_share: number(value, "/overdue_earnings").unwrap_or(0.0),
-        earnings: number(value, "/earnings").unwrap_or(1.0),
     })
 }
 
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -11,7 +11,7 @@
 use serde_json::value::RawValue;
 use std::borrow::Cow;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -121,12 +121,6 @@
             push_text(r, body);
         });
     }
-    fn note(&mut self, line: &str) {
-        self.act("record", |r| {
-            r.push(b',');
-            push_text(r, line);
-        });
-    }
 }
 
 fn ending(code: i64) -> Ending {
@@ -290,8 +284,6 @@
                     ending: ending(fields.need("ending")?),
                     wait: fields.time("wait_time")?,
                     settled: fields.need("settled")?,
-                    fetch_elsewhere: fields.maybe::<i64>("detail")? == Some(3),
-                    waiting: waiting(fields.maybe("telemetry")?),
                 };
                 if let Some(policy) = policy.as_mut() {
                     policy.outcome(now, &id, &node, outcome);
@@ -352,10 +344,6 @@
     }
 }
 
-fn waiting(report: Option<BTreeMap<Cow<str>, f64>>) -> Option<f64> {
-    report.and_then(|r| r.get("depth").copied())
-}
-
 /// One entry of a list: a short array, nulls allowed past the id.
 #[derive(Deserialize)]
 struct Item<'a>(
