--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -24,6 +24,7 @@
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
 const BEARABLE: f64 = 0.22; // of an access's goal time; a node that takes longer on the mean is passed over
+const FULL_USED: f64 = 0.7; // of the goal time; what a refusal counts for: the spare may still answer in time
 const FULL_SHARE: f64 = 0.3; // of the mean answer time; a full node is passed over while a place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
@@ -610,7 +611,7 @@
         self.caches.in_flight = self.caches.in_flight.saturating_sub(1);
         let used = match outcome.ending {
             Ending::CalledOff | Ending::NotSent => return,
-            Ending::Full => 1.0,
+            Ending::Full => FULL_USED,
             _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
         };
         node.goal_used += NODE_SMOOTHING * (used - node.goal_used);
