Keep the list's entry as it is, one check for the origin's kind, one reused reply buffer

Read-through: nodes copied seven fields of their list entry; the origin's kind was compared in three places; the time of the next call for the list had two ways to say never; through mode chose a leader's node twice; the reply's buffer was given away each batch.

--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -95,7 +95,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Entry {
     pub node: NodeId,
     pub zone: u32,
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -67,7 +67,7 @@
     tenants: Vec<Tenant>,
     peers: BTreeMap<u32, (Micros, Vec<u32>)>,
     tell_at: Micros,
-    list_due: Option<Micros>,
+    list_due: Micros,
     list_failures: u32,
     next_wake: Micros,
 }
@@ -84,7 +84,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             tenants: settings.quotas.iter().map(tenant).collect(),
             tell_at: if settings.quotas.is_empty() || !settings.peer_messages { Micros::MAX } else { now },
-            list_due: settings.list_on_request.then_some(now),
+            list_due: if settings.list_on_request { now } else { Micros::MAX },
             settings,
             accesses: FxHashMap::default(),
             held: BTreeSet::new(),
@@ -170,23 +170,23 @@
             // Danger: all instances calling at once, and again at once, keep the list service overbooked.
             let wait = LIST_RETRY << self.list_failures.min(LIST_RETRY_MOST);
             let at = now + (wait as f64 * self.rng.random_range(0.5..1.5)) as Micros;
-            (self.list_failures, self.list_due) = (self.list_failures + 1, self.list_due.map(|_| at));
+            self.list_failures += 1;
+            self.list_due = if self.settings.list_on_request { at } else { Micros::MAX };
             return self.arm();
         }
-        if kind != ListKind::Kept && self.settings.list_on_request {
-            (self.list_failures, self.list_due) = (0, Some(Micros::MAX));
+        if kind != ListKind::Kept {
+            (self.list_failures, self.list_due) = (0, Micros::MAX);
         }
         if kind != ListKind::Changes {
             for node in &mut self.nodes {
-                node.standing = Standing::Gone;
+                node.entry.standing = Standing::Gone;
             }
         }
         for entry in entries {
             self.enter(entry);
         }
-        self.origin.node = (0..self.nodes.len()).find(|&n| {
-            self.settings.origin_kind == Some(self.nodes[n].kind) && self.nodes[n].standing == Standing::Ready
-        });
+        let ready = |&n: &usize| self.of_origin(n) && self.nodes[n].entry.standing == Standing::Ready;
+        self.origin.node = (0..self.nodes.len()).find(ready);
         self.build_slots();
         self.upkeep(now);
     }
@@ -211,31 +211,27 @@
         }
     }
 
-    // ---- the table: a home and a spare for each key ----
-
-    fn enter(&mut self, entry: Entry) {
+    fn enter(&mut self, mut entry: Entry) {
+        entry.size = if self.settings.sizes_declared && entry.size > 0.0 { entry.size } else { 1.0 };
         let n = *self.by_id.entry(entry.node.clone()).or_insert(self.nodes.len());
         if n == self.nodes.len() {
-            self.nodes.push(Node { id: entry.node, started_at: entry.started_at, ..Node::default() });
+            self.nodes.push(Node { entry: entry.clone(), ..Node::default() });
         }
         let node = &mut self.nodes[n];
-        if entry.started_at != node.started_at {
+        if entry.started_at != node.entry.started_at {
             // Danger: a node that came back looks like the old one by its id, but is empty and cold.
-            node.started_at = entry.started_at;
             (node.strikes, node.skip_until, node.sent) = (0, 0, Pace::default());
         }
-        (node.zone, node.kind, node.cell, node.standing) =
-            (entry.zone, entry.kind, entry.cell, entry.standing);
-        node.size = if self.settings.sizes_declared && entry.size > 0.0 { entry.size } else { 1.0 };
+        node.entry = entry;
     }
 
     /// Rendezvous by slot: a change of members moves only the keys of the node that came or went.
     fn build_slots(&mut self) {
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
-        ready.sort_by(|&a, &b| self.nodes[a].id.cmp(&self.nodes[b].id));
+        ready.sort_by(|&a, &b| self.nodes[a].entry.node.cmp(&self.nodes[b].entry.node));
         self.caches.ready = ready.len();
         let seeds: Vec<(usize, u64, f64)> =
-            ready.iter().map(|&n| (n, hash(&self.nodes[n].id), self.nodes[n].size)).collect();
+            ready.iter().map(|&n| (n, hash(&self.nodes[n].entry.node), self.nodes[n].entry.size)).collect();
         self.slots.clear();
         for slot in 0..SLOTS as u64 {
             let score = |h: u64, size: f64| -unit(mix(h ^ mix(slot + 1))).ln() / size;
@@ -249,15 +245,19 @@
         }
     }
 
+    fn of_origin(&self, n: usize) -> bool {
+        self.settings.origin_kind == Some(self.nodes[n].entry.kind)
+    }
+
     fn is_cache(&self, n: usize) -> bool {
-        self.nodes[n].standing == Standing::Ready && self.settings.origin_kind != Some(self.nodes[n].kind)
+        self.nodes[n].entry.standing == Standing::Ready && !self.of_origin(n)
     }
 
     /// Share of its capacity that a node surely has.
     fn warmth(&self, now: Micros, n: usize) -> f64 {
         let (node, start) = (&self.nodes[n], self.settings.start_capacity);
-        let age = (now - node.started_at).max(0) as f64 / self.settings.ramp_time.max(1) as f64;
-        if node.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
+        let age = (now - node.entry.started_at).max(0) as f64 / self.settings.ramp_time.max(1) as f64;
+        if node.entry.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
     }
 
     /// Whether a cache node may get an access of this slot now.
@@ -273,9 +273,10 @@
     /// as it warms, in the proxies' turns while fresh, and never more than a like warm node could do.
     fn cold_takes(&self, now: Micros, n: usize, slot: usize, warmth: f64) -> bool {
         let node = &self.nodes[n];
-        let fresh = now - node.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
+        let fresh = now - node.entry.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
         let turn = (now / TURN) as u64 % u64::from(self.settings.fleet_size.max(1));
-        if unit(mix(hash(&node.id) ^ slot as u64)) > warmth || fresh && turn != u64::from(self.settings.index)
+        if unit(mix(hash(&node.entry.node) ^ slot as u64)) > warmth
+            || fresh && turn != u64::from(self.settings.index)
         {
             return false;
         }
@@ -284,11 +285,11 @@
         for (o, warm) in self.nodes.iter().enumerate().filter(|&(o, _)| self.is_cache(o)) {
             if self.warmth(now, o) >= 1.0 {
                 honoured += warm.honoured.now(now, self.settings.fall);
-                size += warm.size;
+                size += warm.entry.size;
             }
         }
         let fair = if size > 0.0 { honoured / size } else { 0.0 };
-        node.sent.now(now, self.settings.fall) < fair * node.size * warmth + COLD_SLACK
+        node.sent.now(now, self.settings.fall) < fair * node.entry.size * warmth + COLD_SLACK
     }
 
     /// The cache node that the access would go to.
@@ -352,8 +353,9 @@
             _ => {
                 if let Some(Ok(node)) = self.accesses.get(id).map(|a| self.choose(now, a)) {
                     self.lead(now, id, key, node);
+                    return self.hand_off(now, id, node);
                 }
-                self.ask_cache(now, id);
+                self.give_up(now, id);
             }
         }
     }
@@ -444,7 +446,7 @@
         let case = &self.settings.use_cases[access.use_case];
         let node = &self.nodes[n];
         if access.hand_offs.len() >= self.settings.max_hand_offs
-            || node.standing != Standing::Ready
+            || node.entry.standing != Standing::Ready
             || now >= access.outer_limit
             || access.hand_offs.iter().any(|h| h.ending.is_none())
         {
@@ -494,7 +496,7 @@
         } else {
             self.caches.in_flight += 1;
         }
-        self.host.hand_off(id, &node.id, allow_for);
+        self.host.hand_off(id, &node.entry.node, allow_for);
         if let Some(access) = self.accesses.get_mut(id) {
             access.hand_offs.push(HandOff { node: n, sent_at: now, ending: None });
         }
@@ -519,8 +521,8 @@
         }
         let followers = self.joins.remove(&access.key).map_or(Vec::new(), |j| j.followers);
         if honoured && !self.settings.aside {
-            let served = Join { leader: None, node, followers: Vec::new(), served_at: now };
-            self.joins.insert(access.key, served);
+            let followers = Vec::new();
+            self.joins.insert(access.key, Join { leader: None, node, followers, served_at: now });
         }
         for follower in followers {
             self.unhold(&follower);
@@ -551,10 +553,10 @@
 
     fn arm(&mut self) {
         let held = self.held.first().map_or(Micros::MAX, |held| held.0);
-        let idle =
-            self.origin.node.is_some_and(|o| self.nodes[o].in_flight == 0) && !self.origin.queue.is_empty();
-        let fetch = if idle { self.origin.after } else { Micros::MAX };
-        let at = held.min(self.tell_at).min(self.list_due.unwrap_or(Micros::MAX)).min(fetch);
+        let origin_idle = self.origin.node.is_some_and(|o| self.nodes[o].in_flight == 0);
+        let fetch =
+            if origin_idle && !self.origin.queue.is_empty() { self.origin.after } else { Micros::MAX };
+        let at = held.min(self.tell_at).min(self.list_due).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
             self.host.wake_at(WAKE, at);
@@ -571,10 +573,10 @@
             }
         }
         self.fetch_queued(now);
-        if self.list_due.is_some_and(|at| at <= now) {
+        if self.list_due <= now {
             self.host.watch_list();
             // Should no answer come, ask anew before what is listed counts as told.
-            self.list_due = Some(now + self.settings.ask_within / 2);
+            self.list_due = now + self.settings.ask_within / 2;
         }
         if self.tell_at <= now {
             self.tell_at = now + TELL_EVERY;
@@ -584,7 +586,7 @@
     }
 
     fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome, goal: Option<f64>) {
-        let at_origin = self.settings.origin_kind == Some(self.nodes[n].kind);
+        let at_origin = self.of_origin(n);
         let (wait, sent_at) = (outcome.wait, now - outcome.wait);
         let mean = self.caches.times.mean;
         let node = &mut self.nodes[n];
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,6 +1,6 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
-use crate::interface::{AccessId, Arrival, Ending, Group, Key, Micros, NodeId, Standing};
+use crate::interface::{AccessId, Arrival, Ending, Entry, Group, Key, Micros};
 use std::collections::VecDeque;
 
 /// One hand-off.
@@ -72,21 +72,16 @@
 /// One cache node or the origin, as long as the instance lives.
 #[derive(Default)]
 pub(crate) struct Node {
-    pub id: NodeId,
-    pub zone: u32,
-    pub kind: u32,
-    pub cell: u32,
-    pub standing: Standing,
-    pub size: f64,
-    pub started_at: Micros,
+    /// As last listed; its size is 1 where sizes are not declared.
+    pub entry: Entry,
     pub in_flight: u32,
     pub heard_at: Micros,
     pub strikes: u32,
     pub skip_until: Micros,
     pub full_until: Micros,
     /// Its mean answer time, and the share of their goal time that its answers use up.
-    pub goal_used: f64,
     pub mean: f64,
+    pub goal_used: f64,
     /// Sent to it, and honoured by it, lately.
     pub sent: Pace,
     pub honoured: Pace,
@@ -96,8 +91,8 @@
     pub fn in_group(&self, other: &Node, group: Group) -> bool {
         match group {
             Group::All => true,
-            Group::Zone => self.zone == other.zone,
-            Group::Cell => self.cell == other.cell,
+            Group::Zone => self.entry.zone == other.entry.zone,
+            Group::Cell => self.entry.cell == other.entry.cell,
         }
     }
 }
@@ -110,6 +105,17 @@
     pub filled_at: Micros,
 }
 
+impl Tenant {
+    /// Takes one from the allowance, which refills at `rate` a second and holds a second's worth.
+    pub fn take(&mut self, now: Micros, rate: f64) -> bool {
+        self.allowance = (self.allowance + rate * (now - self.filled_at) as f64 / 1e6).min(rate.max(1.0));
+        self.filled_at = now;
+        let within = self.allowance >= 1.0;
+        self.allowance -= f64::from(u8::from(within));
+        within
+    }
+}
+
 /// What is known of the caches as one.
 #[derive(Default)]
 pub(crate) struct Caches {
@@ -136,17 +142,6 @@
     pub queue: VecDeque<AccessId>,
 }
 
-impl Tenant {
-    /// Takes one from the allowance, which refills at `rate` a second and holds a second's worth.
-    pub fn take(&mut self, now: Micros, rate: f64) -> bool {
-        self.allowance = (self.allowance + rate * (now - self.filled_at) as f64 / 1e6).min(rate.max(1.0));
-        self.filled_at = now;
-        let within = self.allowance >= 1.0;
-        self.allowance -= f64::from(u8::from(within));
-        within
-    }
-}
-
 /// Times of answers: mean and mean deviation.
 #[derive(Default)]
 pub(crate) struct Times {
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -10,7 +10,7 @@
 use serde_json::Value;
 use serde_json::value::RawValue;
 use std::borrow::Cow;
-use std::cell::RefCell;
+use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::fmt;
 use std::rc::Rc;
@@ -153,7 +153,7 @@
 }
 
 impl Proxies {
-    pub fn batch(&mut self, line: &[u8]) -> Result<Vec<u8>, serde_json::Error> {
+    pub fn batch(&mut self, line: &[u8]) -> Result<Ref<'_, Vec<u8>>, serde_json::Error> {
         let batch: Batch = serde_json::from_slice(line)?;
         {
             let mut reply = self.reply.borrow_mut();
@@ -162,9 +162,8 @@
         }
         let mut events = serde_json::Deserializer::from_str(batch.events.get());
         Events { proxies: self, now: micros(batch.clock) }.deserialize(&mut events)?;
-        let mut reply = self.reply.borrow_mut();
-        reply.extend_from_slice(b"]}\n");
-        Ok(std::mem::take(&mut reply))
+        self.reply.borrow_mut().extend_from_slice(b"]}\n");
+        Ok(self.reply.borrow())
     }
 }
 
