Claim slots instead of ranking them; no messages among hundreds of proxies

Now each cache claims 32 of 8,192 slots by its id and a key looks for claimed ones: a cost that does not grow.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -12,8 +12,11 @@
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 
-const SLOTS: usize = 1024; // slots; some 50 or more a node, so that shares are even and a rebuild stays cheap
-const RANKS: usize = 4; // nodes a slot ranks: home, spare and two more for when those are out
+const SLOTS: usize = 8_192; // slots; room for the claims of some hundreds of nodes in 16 KB an instance
+const CLAIMS: f64 = 32.0; // slots a node of middling size claims; keeps shares within a tenth or so
+const PROBES: u64 = 1_024; // slots a key looks at for its caches at most; finds the only one of a fleet of one
+const RANKS: usize = 4; // caches a key ranks: home, spare and two more for when those are out
+const NOBODY: u16 = u16::MAX; // a slot without a node
 const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
 const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
 const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
@@ -45,11 +48,11 @@
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
 const TELL_EVERY: Micros = 1_000_000; // us; between reports of our arrivals to peers, where shares need them
+const TELL_MOST: u32 = 16; // proxies up to which all tell all; a few hundred messages a second
 const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
 const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses at a node from which on surplus ones are turned back
 const WAKE: u64 = 0; // the one timer label
-const NOBODY: u16 = u16::MAX; // a slot rank without a node
 
 /// One instance of the decision module.
 pub struct Policy<H: Host> {
@@ -61,7 +64,7 @@
     joins: BTreeMap<Key, Join>,
     nodes: Vec<Node>,
     by_id: FxHashMap<NodeId, usize>,
-    slots: Vec<[u16; RANKS]>,
+    slots: Vec<u16>,
     caches: Caches,
     origin: Origin,
     tenants: Vec<Tenant>,
@@ -77,13 +80,16 @@
     pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
         let guess = || Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
+        // Danger: what all tell all grows with the square of their number, and drowns hundreds.
+        let few = settings.fleet_size <= TELL_MOST;
+        let tells = few && settings.peer_messages && !settings.quotas.is_empty();
         let part = 1.0 / f64::from(settings.fleet_size.max(1));
         let tenant = |quota: &f64| Tenant { arrivals: 0, part, allowance: quota * part, filled_at: now };
         Policy {
             host,
             rng: ChaCha8Rng::seed_from_u64(seed),
             tenants: settings.quotas.iter().map(tenant).collect(),
-            tell_at: if settings.quotas.is_empty() || !settings.peer_messages { Micros::MAX } else { now },
+            tell_at: if tells { now } else { Micros::MAX },
             list_due: if settings.list_on_request { now } else { Micros::MAX },
             settings,
             accesses: FxHashMap::default(),
@@ -215,7 +221,7 @@
         entry.size = if self.settings.sizes_declared && entry.size > 0.0 { entry.size } else { 1.0 };
         let n = *self.by_id.entry(entry.node.clone()).or_insert(self.nodes.len());
         if n == self.nodes.len() {
-            self.nodes.push(Node { entry: entry.clone(), ..Node::default() });
+            self.nodes.push(Node { id_hash: hash(&entry.node), ..Node::default() });
         }
         let node = &mut self.nodes[n];
         if entry.started_at != node.entry.started_at {
@@ -225,26 +231,49 @@
         node.entry = entry;
     }
 
-    /// Rendezvous by slot: a change of members moves only the keys of the node that came or went.
+    /// Each ready cache claims its own slots by its id; a slot claimed twice goes by chance alike everywhere.
+    /// Danger: hundreds of proxies that each rank the whole fleet at each change have no time for accesses.
     fn build_slots(&mut self) {
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
         ready.sort_by(|&a, &b| self.nodes[a].entry.node.cmp(&self.nodes[b].entry.node));
         self.caches.ready = ready.len();
-        let seeds: Vec<(usize, u64, f64)> =
-            ready.iter().map(|&n| (n, hash(&self.nodes[n].entry.node), self.nodes[n].entry.size)).collect();
+        self.caches.size = ready.iter().map(|&n| self.nodes[n].entry.size).sum();
+        // Sizes have no unit; a power of two near their mean hardly ever moves.
+        let unit_size = (self.caches.size / ready.len().max(1) as f64).max(1e-9).log2().round().exp2();
         self.slots.clear();
-        for slot in 0..SLOTS as u64 {
-            let score = |h: u64, size: f64| -unit(mix(h ^ mix(slot + 1))).ln() / size;
-            let mut ranked: Vec<_> = seeds.iter().map(|&(n, h, size)| (score(h, size), n)).collect();
-            ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut ranks = [NOBODY; RANKS];
-            for (rank, &(_, n)) in ranks.iter_mut().zip(&ranked) {
-                *rank = n as u16;
+        self.slots.resize(SLOTS, NOBODY);
+        for n in ready {
+            let node = &self.nodes[n];
+            let claims = (CLAIMS * node.entry.size / unit_size).ceil().min(CLAIMS * 8.0) as u64;
+            for claim in 0..claims {
+                let slot = draw(node.id_hash, claim) as usize % SLOTS;
+                let chance = |n: usize| draw(self.nodes[n].id_hash, slot as u64 ^ u64::MAX);
+                let holder = self.slots[slot] as usize;
+                if holder == NOBODY as usize || chance(holder) < chance(n) {
+                    self.slots[slot] = n as u16;
+                }
             }
-            self.slots.push(ranks);
         }
     }
 
+    /// A key's caches in order: home, spare, and more for when those are out. A change of members moves only
+    /// the keys of the node that came or went.
+    fn ranks(&self, key: u64) -> impl Iterator<Item = usize> {
+        let mut found = [NOBODY; RANKS];
+        let mut count = 0;
+        let slots = if self.caches.ready > 0 { PROBES } else { 0 };
+        let named = (0..slots).map(move |probe| self.slots[draw(key, probe) as usize % SLOTS]);
+        let fresh = named.filter(move |n| {
+            let fresh = *n != NOBODY && count < RANKS && !found[..count].contains(n);
+            if fresh {
+                found[count] = *n;
+                count += 1;
+            }
+            fresh
+        });
+        fresh.map(usize::from).take(RANKS.min(self.caches.ready))
+    }
+
     fn of_origin(&self, n: usize) -> bool {
         self.settings.origin_kind == Some(self.nodes[n].entry.kind)
     }
@@ -261,7 +290,7 @@
     }
 
     /// Whether a cache node may get an access of this slot now.
-    fn takes(&self, now: Micros, n: usize, slot: usize) -> bool {
+    fn takes(&self, now: Micros, n: usize, slot: u64) -> bool {
         let node = &self.nodes[n];
         // Danger: a node that comes back wrongly trusted swallows a burst; it is risked one access at a time.
         let trusted = now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
@@ -271,24 +300,15 @@
 
     /// Danger: a cold node gets all its keys, or the origin all its misses, at once. It gets slots
     /// as it warms, in the proxies' turns while fresh, and never more than a like warm node could do.
-    fn cold_takes(&self, now: Micros, n: usize, slot: usize, warmth: f64) -> bool {
+    fn cold_takes(&self, now: Micros, n: usize, slot: u64, warmth: f64) -> bool {
         let node = &self.nodes[n];
         let fresh = now - node.entry.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
         let turn = (now / TURN) as u64 % u64::from(self.settings.fleet_size.max(1));
-        if unit(mix(hash(&node.entry.node) ^ slot as u64)) > warmth
-            || fresh && turn != u64::from(self.settings.index)
-        {
+        if unit(mix(node.id_hash ^ slot)) > warmth || fresh && turn != u64::from(self.settings.index) {
             return false;
         }
         // In an overload warm nodes are sent too much, and misses cost little: what they honoured counts.
-        let (mut honoured, mut size) = (0.0, 0.0);
-        for (o, warm) in self.nodes.iter().enumerate().filter(|&(o, _)| self.is_cache(o)) {
-            if self.warmth(now, o) >= 1.0 {
-                honoured += warm.honoured.now(now, self.settings.fall);
-                size += warm.entry.size;
-            }
-        }
-        let fair = if size > 0.0 { honoured / size } else { 0.0 };
+        let fair = self.caches.honoured.now(now, self.settings.fall) / self.caches.size.max(1.0);
         node.sent.now(now, self.settings.fall) < fair * node.entry.size * warmth + COLD_SLACK
     }
 
@@ -300,13 +320,12 @@
     /// The home, or the spare when the home has more than its part of our own accesses in flight. `Err` tells
     /// whether caches that take the key are there at all.
     fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
-        let slot = hash(&access.key) as usize % SLOTS;
-        let Some(ranks) = self.slots.get(slot) else { return Err(false) };
-        let takes = |&n: &usize| n != NOBODY as usize && self.takes(now, n, slot);
+        let slot = hash(&access.key);
+        let takes = |&n: &usize| self.takes(now, n, slot);
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
         let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
-        let mut pair = ranks.iter().map(|&n| n as usize).filter(takes).take(1 + usize::from(room)).peekable();
+        let mut pair = self.ranks(slot).filter(takes).take(1 + usize::from(room)).peekable();
         let there = pair.peek().is_some();
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = pair.filter(|&n| {
@@ -596,8 +615,8 @@
                 (node.heard_at, node.strikes, node.skip_until) = (now, 0, 0);
                 if outcome.ending == Ending::Full {
                     node.full_until = now + (mean * FULL_SHARE) as Micros;
-                } else if outcome.ending == Ending::Honoured {
-                    node.honoured.add(now, self.settings.fall);
+                } else if outcome.ending == Ending::Honoured && !at_origin {
+                    self.caches.honoured.add(now, self.settings.fall);
                 }
             }
             // Danger: a node that takes accesses and answers none; skipped here only, the table stands.
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -82,9 +82,9 @@
     /// Its mean answer time, and the share of their goal time that its answers use up.
     pub mean: f64,
     pub goal_used: f64,
-    /// Sent to it, and honoured by it, lately.
+    /// Sent to it lately.
     pub sent: Pace,
-    pub honoured: Pace,
+    pub id_hash: u64,
 }
 
 impl Node {
@@ -120,6 +120,9 @@
 #[derive(Default)]
 pub(crate) struct Caches {
     pub ready: usize,
+    /// Size of all ready ones, and what they honoured lately.
+    pub size: f64,
+    pub honoured: Pace,
     pub in_flight: u32,
     pub times: Times,
     /// Share of its own goal time that an answer takes, on the mean.
@@ -183,6 +186,11 @@
     x ^ (x >> 31)
 }
 
+/// The given one of a seed's numbers.
+pub(crate) fn draw(seed: u64, number: u64) -> u64 {
+    mix(seed ^ number.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
 /// FNV-1a, spread: alike on every machine.
 pub(crate) fn hash(text: &str) -> u64 {
     mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)))
