--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -16,6 +16,8 @@
     fn turn_back(&mut self, access: &AccessId, stay_away: Micros);
     /// Final answer: nothing is promised about the effect.
     fn break_off(&mut self, access: &AccessId);
+    /// Closes our idle connections to a node.
+    fn close_idle(&mut self, node: &NodeId);
     /// Asks for a call of `timer` with this label at or after `at`.
     fn wake_at(&mut self, label: u64, at: Micros);
     /// Subscribes to changes of the list.
@@ -72,6 +74,8 @@
     pub sizes_declared: bool,
     pub start_capacity: f64,
     pub ramp_time: Micros,
+    /// What 100 open connections a cache node cost, in new connections an access; 0 where they cost nothing.
+    pub connection_price: f64,
     /// How long a cold node can be pushed before it falls.
     pub fall: Micros,
 }
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -52,6 +52,7 @@
 const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
 const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses at a node from which on surplus ones are turned back
+const CONNECTIONS: f64 = 100.0; // the unit in which open connections are priced: 100 a cache node
 const WAKE: u64 = 0; // the one timer label
 
 /// One instance of the decision module.
@@ -140,6 +141,11 @@
         let Some(&node) = self.by_id.get(node) else { return };
         let goal = self.accesses.get(id).map(|a| self.settings.use_cases[a.use_case].goal_time as f64);
         self.observe(now, node, &outcome, goal);
+        // Danger: hundreds of proxies that each keep a connection to each node fill its table and slow it down.
+        // A pair that hardly meets again before it would have paid for itself is cut at once.
+        if self.settings.connection_price * f64::from(self.settings.fleet_size) > CONNECTIONS {
+            self.host.close_idle(&self.nodes[node].entry.node);
+        }
         let hand_off = self.accesses.get_mut(id).and_then(|a| a.hand_offs.get_mut(outcome.number));
         // A late answer of an access that is over only teaches, and makes room at the origin.
         if hand_off.is_some_and(|h| h.ending.replace(outcome.ending).is_none()) {
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -34,6 +34,7 @@
     pub accesses: BTreeMap<AccessId, Held>,
     pub wakes: Vec<(Micros, u64)>,
     pub watches: usize,
+    pub closes: usize,
     pub messages: Vec<String>,
 }
 
@@ -96,6 +97,9 @@
     fn break_off(&mut self, id: &AccessId) {
         self.0.borrow_mut().end(id, "broken off");
     }
+    fn close_idle(&mut self, _: &NodeId) {
+        self.0.borrow_mut().closes += 1;
+    }
     fn wake_at(&mut self, label: u64, at: Micros) {
         self.0.borrow_mut().wakes.push((at, label));
     }
@@ -134,6 +138,7 @@
         sizes_declared: false,
         start_capacity: 0.25,
         ramp_time: 8 * SECOND,
+        connection_price: 0.0,
         fall: 2 * SECOND,
     }
 }
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -104,6 +104,12 @@
             push_text(r, access);
         });
     }
+    fn close_idle(&mut self, node: &NodeId) {
+        self.act("release", |r| {
+            r.push(b',');
+            push_text(r, node);
+        });
+    }
     fn wake_at(&mut self, label: u64, at: Micros) {
         self.act("set_timer", |r| {
             r.push(b',');
