Give surplus a share of its own that falls at half the crowding

Cause: with hundreds of proxies a node never has one of our own in flight, so all surplus passed and crowded out what is within its share; an allowance of under one access a second starved it too.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -51,6 +51,7 @@
 const TELL_MOST: u32 = 16; // proxies up to which all tell all; a few hundred messages a second
 const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
+const ALLOWANCE_LEAST: f64 = 5.0; // accesses an allowance holds at least, so that a part under one a second is used
 const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses at a node from which on surplus ones are turned back
 const CONNECTIONS: f64 = 100.0; // the unit in which open connections are priced: 100 a cache node
 const WAKE: u64 = 0; // the one timer label
@@ -99,7 +100,7 @@
             nodes: Vec::new(),
             by_id: FxHashMap::default(),
             slots: Vec::new(),
-            caches: Caches { times: guess(), admit: 1.0, ..Caches::default() },
+            caches: Caches { times: guess(), admit: Share { now: 1.0, at: now }, ..Caches::default() },
             origin: Origin { times: guess(), best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
             peers: BTreeMap::new(),
             list_failures: 0,
@@ -119,11 +120,12 @@
         let access = Access::new(arrival, now, useful_until);
         let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
-        if self.surplus(now, tenant, &id) {
+        let surplus = self.surplus(now, tenant);
+        if surplus && self.turns_surplus_back(now, &id) {
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
-        } else if self.rng.random::<f64>() >= self.caches.admit
+        } else if self.rng.random::<f64>() >= self.caches.admit.now
             && self.target(now, &id).is_none_or(|node| node.goal_used >= CROWDED)
         {
             // Danger: crowded nodes answer late and clients come again; by the mean alone, a few hot nodes
@@ -647,12 +649,15 @@
             self.caches.times.learn(wait, SMOOTHING);
         }
         self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
-        if now - self.caches.admit_at >= CONTROL {
-            let (admit, crowded) = (self.caches.admit, self.caches.goal_used > CROWDED);
-            // Danger: a proxy that admits little learns little; by answers alone it would stay shut for long.
-            let rise = ADMIT_RISE * ((now - self.caches.admit_at) / CONTROL) as f64;
-            let next = if crowded { admit * ADMIT_FALL } else { admit + rise };
-            (self.caches.admit, self.caches.admit_at) = (next.clamp(ADMIT_LEAST, 1.0), now);
+        // Surplus makes way well before what is within its share.
+        for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
+            if now - share.at >= CONTROL {
+                // Danger: a proxy that admits little learns little; by answers alone it would stay shut for long.
+                let rise = ADMIT_RISE * ((now - share.at) / CONTROL) as f64;
+                let crowded = self.caches.goal_used > most;
+                let next = if crowded { share.now * ADMIT_FALL } else { share.now + rise };
+                *share = Share { now: next.clamp(ADMIT_LEAST, 1.0), at: now };
+            }
         }
     }
 
@@ -675,13 +680,18 @@
         }
     }
 
-    /// Whether this arrival lies beyond our part of its tenant's share and would not find an idle node.
-    fn surplus(&mut self, now: Micros, tenant: usize, id: &AccessId) -> bool {
+    /// Whether this arrival lies beyond our part of its tenant's share.
+    fn surplus(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
         let t = &mut self.tenants[tenant];
         t.arrivals += 1;
-        let within = t.take(now, quota * t.part);
-        !within && self.target(now, id).is_none_or(|n| n.in_flight >= SURPLUS_IN_FLIGHT)
+        !t.take(now, quota * t.part, ALLOWANCE_LEAST)
+    }
+
+    /// Danger: each of hundreds finds its nodes idle of its own while all together crowd them with surplus.
+    fn turns_surplus_back(&mut self, now: Micros, id: &AccessId) -> bool {
+        self.rng.random::<f64>() >= self.caches.surplus.now
+            || self.target(now, id).is_none_or(|n| n.in_flight >= SURPLUS_IN_FLIGHT)
     }
 
     /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -106,9 +106,9 @@
 }
 
 impl Tenant {
-    /// Takes one from the allowance, which refills at `rate` a second and holds a second's worth.
-    pub fn take(&mut self, now: Micros, rate: f64) -> bool {
-        self.allowance = (self.allowance + rate * (now - self.filled_at) as f64 / 1e6).min(rate.max(1.0));
+    /// Takes one from the allowance, which refills at `rate` a second and holds a second's worth or `least`.
+    pub fn take(&mut self, now: Micros, rate: f64, least: f64) -> bool {
+        self.allowance = (self.allowance + rate * (now - self.filled_at) as f64 / 1e6).min(rate.max(least));
         self.filled_at = now;
         let within = self.allowance >= 1.0;
         self.allowance -= f64::from(u8::from(within));
@@ -127,9 +127,16 @@
     pub times: Times,
     /// Share of its own goal time that an answer takes, on the mean.
     pub goal_used: f64,
-    /// Share of reads admitted.
-    pub admit: f64,
-    pub admit_at: Micros,
+    /// Shares of reads and of surplus admitted.
+    pub admit: Share,
+    pub surplus: Share,
+}
+
+/// A share in steps, and when the last was taken.
+#[derive(Default, Clone, Copy)]
+pub(crate) struct Share {
+    pub now: f64,
+    pub at: Micros,
 }
 
 /// What is known of the origin.
