Find the parts of shares by single words to one peer; three tenths of room in them

Cause: parts of 1/fleet ignore that zones differ in traffic; each proxy now tells one random peer a second its view of the mean arrivals and both end in the middle.

--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -22,8 +22,8 @@
     fn wake_at(&mut self, label: u64, at: Micros);
     /// Subscribes to changes of the list.
     fn watch_list(&mut self);
-    /// Sends a short message to every peer.
-    fn tell_all(&mut self, body: &str);
+    /// Sends a short message to the peer of this number.
+    fn tell(&mut self, peer: u32, body: &str);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -47,11 +47,10 @@
 const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
-const TELL_EVERY: Micros = 1_000_000; // us; between reports of our arrivals to peers, where shares need them
-const TELL_MOST: u32 = 16; // proxies up to which all tell all; a few hundred messages a second
-const TELL_STALE: Micros = 3_500_000; // us; a peer unheard for three reports no longer counts
+const TELL_EVERY: Micros = 1_000_000; // us; between words to one peer each, where shares need them
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
 const ALLOWANCE_LEAST: f64 = 5.0; // accesses an allowance holds at least, so that a part under one a second is used
+const SHARE_ROOM: f64 = 1.3; // times our part of a share that passes as within it, as parts are guesses
 const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses at a node from which on surplus ones are turned back
 const CONNECTIONS: f64 = 100.0; // the unit in which open connections are priced: 100 a cache node
 const WAKE: u64 = 0; // the one timer label
@@ -70,7 +69,7 @@
     caches: Caches,
     origin: Origin,
     tenants: Vec<Tenant>,
-    peers: BTreeMap<u32, (Micros, Vec<u32>)>,
+    arrivals: Arrivals,
     tell_at: Micros,
     list_due: Micros,
     list_failures: u32,
@@ -82,16 +81,13 @@
     pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
         let guess = || Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
-        // Danger: what all tell all grows with the square of their number, and drowns hundreds.
-        let few = settings.fleet_size <= TELL_MOST;
-        let tells = few && settings.peer_messages && !settings.quotas.is_empty();
-        let part = 1.0 / f64::from(settings.fleet_size.max(1));
-        let tenant = |quota: &f64| Tenant { arrivals: 0, part, allowance: quota * part, filled_at: now };
+        let tells = settings.peer_messages && !settings.quotas.is_empty() && settings.fleet_size > 1;
+        let tenant = |_: &f64| Tenant { allowance: 1.0, filled_at: now };
         Policy {
             host,
             rng: ChaCha8Rng::seed_from_u64(seed),
             tenants: settings.quotas.iter().map(tenant).collect(),
-            tell_at: if tells { now } else { Micros::MAX },
+            tell_at: if tells { now + TELL_EVERY } else { Micros::MAX },
             list_due: if settings.list_on_request { now } else { Micros::MAX },
             settings,
             accesses: FxHashMap::default(),
@@ -102,7 +98,7 @@
             slots: Vec::new(),
             caches: Caches { times: guess(), admit: Share { now: 1.0, at: now }, ..Caches::default() },
             origin: Origin { times: guess(), best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
-            peers: BTreeMap::new(),
+            arrivals: Arrivals::default(),
             list_failures: 0,
             next_wake: Micros::MAX,
         }
@@ -208,12 +204,11 @@
     /// A probe's answer. The module sends no probes.
     pub fn probe_result(&mut self, _now: Micros, _node: &NodeId, _ending: Ending) {}
 
-    /// A peer's report of its arrivals, one count for each tenant.
-    pub fn peer_message(&mut self, now: Micros, peer: u32, body: &str) {
-        let Some(counts) = body.strip_prefix("a ") else { return };
-        let counts: Vec<u32> = counts.split(',').map_while(|n| n.parse().ok()).collect();
-        if counts.len() == self.tenants.len() {
-            self.peers.insert(peer, (now, counts));
+    /// A peer's view of the mean arrivals a proxy: both end near the middle, so that all come to agree.
+    pub fn peer_message(&mut self, _now: Micros, _peer: u32, body: &str) {
+        let heard = body.strip_prefix("a ").and_then(|n| n.parse::<f64>().ok());
+        if let Some(heard) = heard.filter(|n| (0.0..1e9).contains(n)) {
+            self.arrivals.fleet = (self.arrivals.fleet + heard) / 2.0;
         }
     }
 
@@ -607,7 +602,7 @@
         }
         if self.tell_at <= now {
             self.tell_at = now + TELL_EVERY;
-            self.share_quotas(now);
+            self.share_quotas();
         }
         self.arm();
     }
@@ -684,8 +679,11 @@
     fn surplus(&mut self, now: Micros, tenant: usize) -> bool {
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
         let t = &mut self.tenants[tenant];
-        t.arrivals += 1;
-        !t.take(now, quota * t.part, ALLOWANCE_LEAST)
+        self.arrivals.lately += 1;
+        let known = self.arrivals.own > 0.0 && self.arrivals.fleet > 0.0;
+        let of_mean = if known { self.arrivals.own / self.arrivals.fleet } else { 1.0 };
+        let part = of_mean / f64::from(self.settings.fleet_size.max(1));
+        !t.take(now, quota * part * SHARE_ROOM, ALLOWANCE_LEAST)
     }
 
     /// Danger: each of hundreds finds its nodes idle of its own while all together crowd them with surplus.
@@ -694,17 +692,17 @@
             || self.target(now, id).is_none_or(|n| n.in_flight >= SURPLUS_IN_FLIGHT)
     }
 
-    /// Our part of each tenant's share is our part of its arrivals, as far as peers have told of theirs.
-    fn share_quotas(&mut self, now: Micros) {
-        self.peers.retain(|_, (at, _)| now - *at < TELL_STALE);
-        let counts: Vec<String> = self.tenants.iter().map(|t| t.arrivals.to_string()).collect();
-        self.host.tell_all(&format!("a {}", counts.join(",")));
-        for (i, tenant) in self.tenants.iter_mut().enumerate() {
-            let own = f64::from(std::mem::take(&mut tenant.arrivals));
-            let all: f64 = own + self.peers.values().map(|(_, c)| f64::from(c[i])).sum::<f64>();
-            if !self.peers.is_empty() && all > 0.0 {
-                tenant.part += NODE_SMOOTHING * (own / all - tenant.part);
-            }
+    /// Our part of each tenant's share is our part of all arrivals: their mean is found by telling one peer at
+    /// a time. Danger: what all tell all grows with the square of their number, and drowns hundreds.
+    fn share_quotas(&mut self) {
+        let arrivals = &mut self.arrivals;
+        let lately = f64::from(std::mem::take(&mut arrivals.lately));
+        if arrivals.own == 0.0 {
+            (arrivals.own, arrivals.fleet) = (lately, arrivals.fleet.max(lately));
         }
+        arrivals.own += NODE_SMOOTHING * (lately - arrivals.own);
+        arrivals.fleet += SMOOTHING * (arrivals.own - arrivals.fleet);
+        let peer = self.rng.random_range(1..self.settings.fleet_size) + self.settings.index;
+        self.host.tell(peer % self.settings.fleet_size, &format!("a {:.3}", self.arrivals.fleet));
     }
 }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -97,10 +97,16 @@
     }
 }
 
-/// A tenant's arrivals here and its allowance.
+/// Arrivals a second: since the last count, our own, and the mean of all proxies as far as known.
+#[derive(Default)]
+pub(crate) struct Arrivals {
+    pub lately: u32,
+    pub own: f64,
+    pub fleet: f64,
+}
+
+/// A tenant's allowance here.
 pub(crate) struct Tenant {
-    pub arrivals: u32,
-    pub part: f64,
     pub allowance: f64,
     pub filled_at: Micros,
 }
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -106,7 +106,7 @@
     fn watch_list(&mut self) {
         self.0.borrow_mut().watches += 1;
     }
-    fn tell_all(&mut self, body: &str) {
+    fn tell(&mut self, _: u32, body: &str) {
         self.0.borrow_mut().messages.push(body.to_owned());
     }
 }
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -121,9 +121,11 @@
     fn watch_list(&mut self) {
         self.act("watch", |r| r.extend_from_slice(b",true"));
     }
-    fn tell_all(&mut self, body: &str) {
+    fn tell(&mut self, peer: u32, body: &str) {
         self.act("notify", |r| {
-            r.extend_from_slice(b",\"all\",");
+            r.push(b',');
+            push_number(r, peer);
+            r.push(b',');
             push_text(r, body);
         });
     }
