Let the shares admitted step by the time passed; surplus starts nearly shut

Cause: a proxy with two answers a second took two steps a second down, but made up for silence going up.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -38,6 +38,7 @@
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
 const CONTROL: Micros = 100_000; // us; between steps of the share admitted: an answer time or so
+const STEPS_MOST: i64 = 20; // steps made up for at one answer after a silence
 const ADMIT_FALL: f64 = 0.9; // factor on the share admitted while crowded; halves it in under a second
 const ADMIT_RISE: f64 = 0.02; // added to it while not; back in full within seconds
 const ADMIT_LEAST: f64 = 0.05; // some must go on, or nothing is learned any more
@@ -96,7 +97,12 @@
             nodes: Vec::new(),
             by_id: FxHashMap::default(),
             slots: Vec::new(),
-            caches: Caches { times: guess(), admit: Share { now: 1.0, at: now }, ..Caches::default() },
+            caches: Caches {
+                times: guess(),
+                admit: Share { now: 1.0, at: now },
+                surplus: Share { now: ADMIT_LEAST, at: now },
+                ..Caches::default()
+            },
             origin: Origin { times: guess(), best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
             arrivals: Arrivals::default(),
             list_failures: 0,
@@ -647,10 +653,11 @@
         // Surplus makes way well before what is within its share.
         for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
             if now - share.at >= CONTROL {
-                // Danger: a proxy that admits little learns little; by answers alone it would stay shut for long.
-                let rise = ADMIT_RISE * ((now - share.at) / CONTROL) as f64;
+                // Danger: a proxy that hears little would step seldom, and stay shut or open for long.
+                let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
                 let crowded = self.caches.goal_used > most;
-                let next = if crowded { share.now * ADMIT_FALL } else { share.now + rise };
+                let next =
+                    if crowded { share.now * ADMIT_FALL.powf(steps) } else { share.now + ADMIT_RISE * steps };
                 *share = Share { now: next.clamp(ADMIT_LEAST, 1.0), at: now };
             }
         }
