Let reads of a key asked often lately take turns at as many caches as it needs

Cause: no proxy of hundreds ever has two in flight at a hot key's home, which all together fill (busiest node at 5 to 8 times the mean). What a proxy asked in the last 20 s stands for what it has in flight.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -19,6 +19,8 @@
 const NOBODY: u16 = u16::MAX; // a slot without a node
 const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
 const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
+const HEAT_FADE: Micros = 20_000_000; // us; how long an access counts for its key's heat: some tens of ours
+const HEATS: usize = 512; // counts of heat by key; far more than a proxy that needs them asks for meanwhile
 const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
@@ -69,6 +71,7 @@
     slots: Vec<u16>,
     caches: Caches,
     origin: Origin,
+    heat: Heat,
     tenants: Vec<Tenant>,
     arrivals: Arrivals,
     tell_at: Micros,
@@ -105,6 +108,7 @@
             },
             origin: Origin { times: guess(), best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
             arrivals: Arrivals::default(),
+            heat: Heat::new(HEATS),
             list_failures: 0,
             next_wake: Micros::MAX,
         }
@@ -119,9 +123,11 @@
         let goal = (now + case.goal_time + stretch as Micros).min(arrival.outer_limit);
         let useful_until = if case.late_share > 0.0 { arrival.outer_limit } else { goal };
         let (id, tenant, write) = (arrival.id.clone(), arrival.tenant, arrival.write);
-        let access = Access::new(arrival, now, useful_until);
+        let mut access = Access::new(arrival, now, useful_until);
+        access.turn = self.rng.random_range(0..256);
         let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
+        self.heat.add(now, HEAT_FADE, hash(&key));
         let surplus = self.surplus(now, tenant);
         if surplus && self.turns_surplus_back(now, &id) {
             self.give_up(now, &id);
@@ -334,15 +340,26 @@
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
         let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
-        let mut pair = self.ranks(slot).filter(takes).take(1 + usize::from(room)).peekable();
-        let there = pair.peek().is_some();
+        let mut there = [usize::MAX; RANKS];
+        let mut count = 0;
+        // Danger: hundreds of proxies each have none of their own in flight at the home of a hot key, which all
+        // together crowd. What we asked lately stands for it: such a key's reads take turns at more ranks.
+        let own = self.heat.of(slot).now(now, HEAT_FADE);
+        let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
+        let hot = own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
+        let reach = if hot { (own / (SPILL_FACTOR * mean)).ceil().min(RANKS as f64) as usize } else { 1 };
+        for n in self.ranks(slot).filter(takes).take(reach.max(1 + usize::from(room))) {
+            there[count] = n;
+            count += 1;
+        }
+        there[..reach.min(count)].rotate_left(access.turn % reach.min(count).max(1));
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
-        let mut open = pair.filter(|&n| {
+        let mut open = there[..count].iter().copied().filter(|&n| {
             let node = &self.nodes[n];
             // Danger: a crowded node is sent more than it answers in time; with none of ours out, one tries.
             !access.tried(n) && now >= node.full_until && (node.in_flight == 0 || node.mean < bearable)
         });
-        let home = open.next().ok_or(there)?;
+        let home = open.next().ok_or(count > 0)?;
         let load = self.nodes[home].in_flight;
         let mean = f64::from(self.caches.in_flight) / self.caches.ready.max(1) as f64;
         if load < SPILL_FLOOR || f64::from(load) <= SPILL_FACTOR * mean {
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -32,6 +32,8 @@
     pub hand_offs: Vec<HandOff>,
     /// The cache node that missed last.
     pub missed_at: Option<usize>,
+    /// Chance of its own: which of a hot key's caches is its first.
+    pub turn: usize,
     pub role: Role,
     /// When it is let go or given up, if held.
     pub due: Micros,
@@ -48,6 +50,7 @@
             useful_until,
             hand_offs: Vec::new(),
             missed_at: None,
+            turn: 0,
             role: Role::Plain,
             due: 0,
         }
@@ -192,6 +195,26 @@
     }
 }
 
+/// Our own accesses lately, by key (keys may share a count) and in all.
+pub(crate) struct Heat {
+    counts: Vec<Pace>,
+    pub all: Pace,
+}
+
+impl Heat {
+    pub fn new(counts: usize) -> Self {
+        Heat { counts: vec![Pace::default(); counts], all: Pace::default() }
+    }
+    pub fn of(&self, key: u64) -> Pace {
+        self.counts[key as usize % self.counts.len()]
+    }
+    pub fn add(&mut self, now: Micros, fade: Micros, key: u64) {
+        let count = key as usize % self.counts.len();
+        self.counts[count].add(now, fade);
+        self.all.add(now, fade);
+    }
+}
+
 /// Spreads a hash's bits (splitmix64's finaliser), alike on every machine.
 pub(crate) fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
