--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -305,12 +305,12 @@
     }
 
     /// Whether a cache node may get an access of this slot now.
-    fn takes(&self, now: Micros, n: usize, slot: u64) -> bool {
+    fn takes(&self, now: Micros, n: usize, slot: u64, cold_too: bool) -> bool {
         let node = &self.nodes[n];
         // Danger: a node that comes back wrongly trusted swallows a burst; it is risked one access at a time.
         let trusted = now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
         let warmth = self.warmth(now, n);
-        self.is_cache(n) && trusted && (warmth >= 1.0 || self.cold_takes(now, n, slot, warmth))
+        self.is_cache(n) && trusted && (warmth >= 1.0 || cold_too && self.cold_takes(now, n, slot, warmth))
     }
 
     /// Danger: a cold node gets all its keys, or the origin all its misses, at once. It gets slots
@@ -336,7 +336,6 @@
     /// whether caches that take the key are there at all.
     fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
         let slot = hash(&access.key);
-        let takes = |&n: &usize| self.takes(now, n, slot);
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
         let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
@@ -346,11 +345,17 @@
         // together crowd. What we asked lately stands for it: such a key's reads take turns at more ranks.
         let own = self.heat.of(slot).now(now, HEAT_FADE);
         let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
-        let hot = own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
+        let many = self.settings.fleet_size as usize > self.caches.ready;
+        let hot = many && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
         let reach = if hot { (own / (SPILL_FACTOR * mean)).ceil().min(RANKS as f64) as usize } else { 1 };
-        for n in self.ranks(slot).filter(takes).take(reach.max(1 + usize::from(room))) {
-            there[count] = n;
-            count += 1;
+        // Their refusals come by chance, from nodes that are free a moment later, unless all are crowded.
+        let deep = if many && room && self.caches.admit.now >= 1.0 { RANKS } else { 1 + usize::from(room) };
+        for (rank, n) in self.ranks(slot).enumerate() {
+            // Danger: a cold node is pushed over by a hot key, or by what others refused.
+            if count < reach.max(deep) && self.takes(now, n, slot, rank == 0 && !hot) {
+                there[count] = n;
+                count += 1;
+            }
         }
         there[..reach.min(count)].rotate_left(access.turn % reach.min(count).max(1));
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
