--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -14,13 +14,13 @@
 
 const SLOTS: usize = 8_192; // slots; room for the claims of some hundreds of nodes in 16 KB an instance
 const CLAIMS: f64 = 32.0; // slots a node of middling size claims; keeps shares within a tenth or so
-const PROBES: u64 = 1_024; // slots a key looks at for its caches at most; finds the only one of a fleet of one
+const PROBES: u64 = 4_096; // slots a key looks at for its caches at most; finds the only one of a fleet of one
 const RANKS: usize = 4; // caches a key ranks: home, spare and two more for when those are out
-const NOBODY: u16 = u16::MAX; // a slot without a node
 const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
 const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
 const HEAT_FADE: Micros = 20_000_000; // us; how long an access counts for its key's heat: some tens of ours
 const HEATS: usize = 512; // counts of heat by key; far more than a proxy that needs them asks for meanwhile
+const ASKED_BEFORE: f64 = 1.5; // accesses; a key that one of many asks for again may be asked for by all of them
 const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
@@ -68,7 +68,7 @@
     joins: BTreeMap<Key, Join>,
     nodes: Vec<Node>,
     by_id: FxHashMap<NodeId, usize>,
-    slots: Vec<u16>,
+    slots: Slots,
     caches: Caches,
     origin: Origin,
     heat: Heat,
@@ -99,7 +99,7 @@
             joins: BTreeMap::new(),
             nodes: Vec::new(),
             by_id: FxHashMap::default(),
-            slots: Vec::new(),
+            slots: Slots::default(),
             caches: Caches {
                 times: guess(),
                 admit: Share { now: 1.0, at: now },
@@ -246,47 +246,18 @@
         node.entry = entry;
     }
 
-    /// Each ready cache claims its own slots by its id; a slot claimed twice goes by chance alike everywhere.
-    /// Danger: hundreds of proxies that each rank the whole fleet at each change have no time for accesses.
+    /// One table built alike everywhere from the sorted ready caches; each claims its slots by its id, so that a
+    /// change of members moves only the keys of the node that came or went. Danger: hundreds of proxies that
+    /// each rank the whole fleet at each change have no time for accesses.
     fn build_slots(&mut self) {
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
         ready.sort_by(|&a, &b| self.nodes[a].entry.node.cmp(&self.nodes[b].entry.node));
         self.caches.ready = ready.len();
         self.caches.size = ready.iter().map(|&n| self.nodes[n].entry.size).sum();
         // Sizes have no unit; a power of two near their mean hardly ever moves.
-        let unit_size = (self.caches.size / ready.len().max(1) as f64).max(1e-9).log2().round().exp2();
-        self.slots.clear();
-        self.slots.resize(SLOTS, NOBODY);
-        for n in ready {
-            let node = &self.nodes[n];
-            let claims = (CLAIMS * node.entry.size / unit_size).ceil().min(CLAIMS * 8.0) as u64;
-            for claim in 0..claims {
-                let slot = draw(node.id_hash, claim) as usize % SLOTS;
-                let chance = |n: usize| draw(self.nodes[n].id_hash, slot as u64 ^ u64::MAX);
-                let holder = self.slots[slot] as usize;
-                if holder == NOBODY as usize || chance(holder) < chance(n) {
-                    self.slots[slot] = n as u16;
-                }
-            }
-        }
-    }
-
-    /// A key's caches in order: home, spare, and more for when those are out. A change of members moves only
-    /// the keys of the node that came or went.
-    fn ranks(&self, key: u64) -> impl Iterator<Item = usize> {
-        let mut found = [NOBODY; RANKS];
-        let mut count = 0;
-        let slots = if self.caches.ready > 0 { PROBES } else { 0 };
-        let named = (0..slots).map(move |probe| self.slots[draw(key, probe) as usize % SLOTS]);
-        let fresh = named.filter(move |n| {
-            let fresh = *n != NOBODY && count < RANKS && !found[..count].contains(n);
-            if fresh {
-                found[count] = *n;
-                count += 1;
-            }
-            fresh
-        });
-        fresh.map(usize::from).take(RANKS.min(self.caches.ready))
+        let unit = (self.caches.size / ready.len().max(1) as f64).max(1e-9).log2().round().exp2();
+        let claims = |n: usize| (CLAIMS * (self.nodes[n].entry.size / unit).min(8.0)).ceil() as u64;
+        self.slots = Slots::new(SLOTS, ready.iter().map(|&n| (n, self.nodes[n].id_hash, claims(n))));
     }
 
     fn of_origin(&self, n: usize) -> bool {
@@ -318,12 +289,18 @@
     fn cold_takes(&self, now: Micros, n: usize, slot: u64, warmth: f64) -> bool {
         let node = &self.nodes[n];
         let fresh = now - node.entry.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
-        let turn = (now / TURN) as u64 % u64::from(self.settings.fleet_size.max(1));
-        if unit(mix(node.id_hash ^ slot)) > warmth || fresh && turn != u64::from(self.settings.index) {
+        // Turns by number: as many groups of proxies as have theirs in that time, alone where they are few.
+        let groups = ((self.settings.ramp_time as f64 * TURNS_SHARE) as Micros / TURN).max(1) as u32;
+        let groups = groups.min(self.settings.fleet_size.max(1));
+        let turn = (now / TURN) as u32 % groups == self.settings.index % groups;
+        // In an overload warm nodes are sent too much, and misses cost little: what they honoured counts.
+        let (honoured, sent) = (&self.caches.honoured, &self.caches.sent);
+        let (honoured, sent) = (honoured.now(now, self.settings.fall), sent.now(now, self.settings.fall));
+        let part = warmth * (honoured / sent.max(1.0)).min(1.0);
+        if unit(mix(node.id_hash ^ slot)) > part || fresh && !turn {
             return false;
         }
-        // In an overload warm nodes are sent too much, and misses cost little: what they honoured counts.
-        let fair = self.caches.honoured.now(now, self.settings.fall) / self.caches.size.max(1.0);
+        let fair = honoured / self.caches.size.max(1.0);
         node.sent.now(now, self.settings.fall) < fair * node.entry.size * warmth + COLD_SLACK
     }
 
@@ -350,9 +327,12 @@
         let reach = if hot { (own / (SPILL_FACTOR * mean)).ceil().min(RANKS as f64) as usize } else { 1 };
         // Their refusals come by chance, from nodes that are free a moment later, unless all are crowded.
         let deep = if many && room && self.caches.admit.now >= 1.0 { RANKS } else { 1 + usize::from(room) };
-        for (rank, n) in self.ranks(slot).enumerate() {
+        for (rank, n) in self.slots.ranks::<RANKS>(slot, PROBES).enumerate() {
             // Danger: a cold node is pushed over by a hot key, or by what others refused.
-            if count < reach.max(deep) && self.takes(now, n, slot, rank == 0 && !hot) {
+            if count == reach.max(deep) {
+                break;
+            }
+            if self.takes(now, n, slot, rank == 0 && !(many && own >= ASKED_BEFORE)) {
                 there[count] = n;
                 count += 1;
             }
@@ -545,6 +525,7 @@
             self.origin.after = now + space as Micros;
         } else {
             self.caches.in_flight += 1;
+            self.caches.sent.add(now, self.settings.fall);
         }
         self.host.hand_off(id, &node.entry.node, allow_for);
         if let Some(access) = self.accesses.get_mut(id) {
@@ -674,12 +655,12 @@
         self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
         // Surplus makes way well before what is within its share.
         for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
-            if now - share.at >= CONTROL {
-                // Danger: a proxy that hears little would step seldom, and stay shut or open for long.
-                let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
-                let crowded = self.caches.goal_used > most;
+            // Danger: a proxy that hears little would step seldom, and stay shut or open for long.
+            let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
+            if steps > 0.0 {
+                let fall = self.caches.goal_used > most;
                 let next =
-                    if crowded { share.now * ADMIT_FALL.powf(steps) } else { share.now + ADMIT_RISE * steps };
+                    if fall { share.now * ADMIT_FALL.powf(steps) } else { share.now + ADMIT_RISE * steps };
                 *share = Share { now: next.clamp(ADMIT_LEAST, 1.0), at: now };
             }
         }
@@ -709,9 +690,7 @@
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
         let t = &mut self.tenants[tenant];
         self.arrivals.lately += 1;
-        let known = self.arrivals.own > 0.0 && self.arrivals.fleet > 0.0;
-        let of_mean = if known { self.arrivals.own / self.arrivals.fleet } else { 1.0 };
-        let part = of_mean / f64::from(self.settings.fleet_size.max(1));
+        let part = self.arrivals.of_mean() / f64::from(self.settings.fleet_size.max(1));
         !t.take(now, quota * part * SHARE_ROOM, ALLOWANCE_LEAST)
     }
 
@@ -724,13 +703,7 @@
     /// Our part of each tenant's share is our part of all arrivals: their mean is found by telling one peer at
     /// a time. Danger: what all tell all grows with the square of their number, and drowns hundreds.
     fn share_quotas(&mut self) {
-        let arrivals = &mut self.arrivals;
-        let lately = f64::from(std::mem::take(&mut arrivals.lately));
-        if arrivals.own == 0.0 {
-            (arrivals.own, arrivals.fleet) = (lately, arrivals.fleet.max(lately));
-        }
-        arrivals.own += NODE_SMOOTHING * (lately - arrivals.own);
-        arrivals.fleet += SMOOTHING * (arrivals.own - arrivals.fleet);
+        self.arrivals.learn(NODE_SMOOTHING, SMOOTHING);
         let peer = self.rng.random_range(1..self.settings.fleet_size) + self.settings.index;
         self.host.tell(peer % self.settings.fleet_size, &format!("a {:.3}", self.arrivals.fleet));
     }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -108,6 +108,21 @@
     pub fleet: f64,
 }
 
+impl Arrivals {
+    /// Ends a second: the first count is taken as it is.
+    pub fn learn(&mut self, weight: f64, pull: f64) {
+        let lately = f64::from(std::mem::take(&mut self.lately));
+        if self.own == 0.0 {
+            (self.own, self.fleet) = (lately, self.fleet.max(lately));
+        }
+        self.own += weight * (lately - self.own);
+        self.fleet += pull * (self.own - self.fleet);
+    }
+    pub fn of_mean(&self) -> f64 {
+        if self.own > 0.0 && self.fleet > 0.0 { self.own / self.fleet } else { 1.0 }
+    }
+}
+
 /// A tenant's allowance here.
 pub(crate) struct Tenant {
     pub allowance: f64,
@@ -129,8 +144,9 @@
 #[derive(Default)]
 pub(crate) struct Caches {
     pub ready: usize,
-    /// Size of all ready ones, and what they honoured lately.
+    /// Size of all ready ones, and what they were sent and honoured lately.
     pub size: f64,
+    pub sent: Pace,
     pub honoured: Pace,
     pub in_flight: u32,
     pub times: Times,
@@ -195,6 +211,46 @@
     }
 }
 
+/// The slot table: who holds each slot.
+#[derive(Default)]
+pub(crate) struct Slots {
+    holders: Vec<u16>,
+    caches: usize,
+}
+
+impl Slots {
+    /// From caches as node, hash of its id and number of claims; a slot claimed twice goes by chance.
+    pub fn new(slots: usize, caches: impl Iterator<Item = (usize, u64, u64)>) -> Self {
+        let mut table = Slots { holders: vec![u16::MAX; slots], caches: 0 };
+        let mut best = vec![0; slots];
+        for (n, id, claims) in caches {
+            table.caches += 1;
+            for slot in (0..claims).map(|claim| draw(id, claim) as usize % slots) {
+                let chance = draw(id, !(slot as u64));
+                if best[slot] < chance {
+                    (best[slot], table.holders[slot]) = (chance, n as u16);
+                }
+            }
+        }
+        table
+    }
+    /// A key's caches in order, `MOST` at most, found by looking at its slots in turn.
+    pub fn ranks<const MOST: usize>(&self, key: u64, looks: u64) -> impl Iterator<Item = usize> {
+        let (mut found, mut count) = ([u16::MAX; MOST], 0);
+        let looks = if self.caches > 0 { looks } else { 0 };
+        let named = (0..looks).map(move |l| self.holders[draw(key, l) as usize % self.holders.len()]);
+        let fresh = named.filter(move |n| {
+            let fresh = *n != u16::MAX && count < MOST && !found[..count].contains(n);
+            if fresh {
+                found[count] = *n;
+                count += 1;
+            }
+            fresh
+        });
+        fresh.map(usize::from).take(MOST.min(self.caches))
+    }
+}
+
 /// Our own accesses lately, by key (keys may share a count) and in all.
 pub(crate) struct Heat {
     counts: Vec<Pace>,
