--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -15,7 +15,8 @@
 const SLOTS: usize = 8_192; // slots; room for the claims of some hundreds of nodes in 16 KB an instance
 const CLAIMS: f64 = 32.0; // slots a node of middling size claims; keeps shares within a tenth or so
 const PROBES: u64 = 4_096; // slots a key looks at for its caches at most; finds the only one of a fleet of one
-const RANKS: usize = 4; // caches a key ranks: home, spare and two more for when those are out
+const RANKS: usize = 4; // caches a key's reads may ask: home, spare and two more for when those are out
+const RANKS_HOT: usize = 16; // caches that reads of a hot key take turns at, at most
 const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
 const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
 const HEAT_FADE: Micros = 20_000_000; // us; how long an access counts for its key's heat: some tens of ours
@@ -316,7 +317,7 @@
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
         let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
-        let mut there = [usize::MAX; RANKS];
+        let mut there = [usize::MAX; RANKS_HOT];
         let mut count = 0;
         // Danger: hundreds of proxies each have none of their own in flight at the home of a hot key, which all
         // together crowd. What we asked lately stands for it: such a key's reads take turns at more ranks.
@@ -324,10 +325,10 @@
         let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
         let many = self.settings.fleet_size as usize > self.caches.ready;
         let hot = many && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
-        let reach = if hot { (own / (SPILL_FACTOR * mean)).ceil().min(RANKS as f64) as usize } else { 1 };
+        let reach = if hot { (own / (SPILL_FACTOR * mean)).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
         // Their refusals come by chance, from nodes that are free a moment later, unless all are crowded.
         let deep = if many && room && self.caches.admit.now >= 1.0 { RANKS } else { 1 + usize::from(room) };
-        for (rank, n) in self.slots.ranks::<RANKS>(slot, PROBES).enumerate() {
+        for (rank, n) in self.slots.ranks::<RANKS_HOT>(slot, PROBES).enumerate() {
             // Danger: a cold node is pushed over by a hot key, or by what others refused.
             if count == reach.max(deep) {
                 break;
