--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -27,6 +27,7 @@
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
 const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a peer's report
+const ESTIMATE_AGE: f64 = 5_000_000.0; // us; after it one new answer counts more than all before: spells last as long
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
 const BEARABLE: f64 = 0.22; // of an access's goal time; a node that takes longer on the mean is passed over
@@ -125,7 +126,7 @@
         let useful_until = if case.late_share > 0.0 { arrival.outer_limit } else { goal };
         let (id, tenant, write) = (arrival.id.clone(), arrival.tenant, arrival.write);
         let mut access = Access::new(arrival, now, useful_until);
-        access.turn = self.rng.random_range(0..256);
+        access.turn = self.rng.random();
         let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
         self.heat.add(now, HEAT_FADE, hash(&key));
@@ -338,12 +339,16 @@
                 count += 1;
             }
         }
-        there[..reach.min(count)].rotate_left(access.turn % reach.min(count).max(1));
+        there[..reach.min(count)].rotate_left(access.turn as usize % reach.min(count).max(1));
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = there[..count].iter().copied().filter(|&n| {
             let node = &self.nodes[n];
-            // Danger: a crowded node is sent more than it answers in time; with none of ours out, one tries.
-            !access.tried(n) && now >= node.full_until && (node.in_flight == 0 || node.mean < bearable)
+            // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out, of
+            // hundreds only as many as its time allows.
+            !access.tried(n)
+                && now >= node.full_until
+                && (node.mean < bearable
+                    || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.mean)
         });
         let home = open.next().ok_or(count > 0)?;
         let load = self.nodes[home].in_flight;
@@ -648,9 +653,12 @@
             Ending::Full => FULL_USED,
             _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
         };
-        node.goal_used += NODE_SMOOTHING * (used - node.goal_used);
+        // Danger: a proxy that hears of a node twice a minute would judge it by what it was minutes ago.
+        let weight = NODE_SMOOTHING.max(1.0 - (-((now - node.learned_at) as f64) / ESTIMATE_AGE).exp());
+        node.learned_at = now;
+        node.goal_used += weight * (used - node.goal_used);
         if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
-            node.mean += NODE_SMOOTHING * (wait as f64 - node.mean);
+            node.mean += weight * (wait as f64 - node.mean);
             self.caches.times.learn(wait, SMOOTHING);
         }
         self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -33,7 +33,7 @@
     /// The cache node that missed last.
     pub missed_at: Option<usize>,
     /// Chance of its own: which of a hot key's caches is its first.
-    pub turn: usize,
+    pub turn: u64,
     pub role: Role,
     /// When it is let go or given up, if held.
     pub due: Micros,
@@ -85,6 +85,7 @@
     /// Its mean answer time, and the share of their goal time that its answers use up.
     pub mean: f64,
     pub goal_used: f64,
+    pub learned_at: Micros,
     /// Sent to it lately.
     pub sent: Pace,
     pub id_hash: u64,
