--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -654,7 +654,9 @@
             _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
         };
         // Danger: a proxy that hears of a node twice a minute would judge it by what it was minutes ago.
-        let weight = NODE_SMOOTHING.max(1.0 - (-((now - node.learned_at) as f64) / ESTIMATE_AGE).exp());
+        // A refusal tells of a moment only.
+        let age = if outcome.ending == Ending::Full { 0 } else { now - node.learned_at };
+        let weight = NODE_SMOOTHING.max(1.0 - (-(age as f64) / ESTIMATE_AGE).exp());
         node.learned_at = now;
         node.goal_used += weight * (used - node.goal_used);
         if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
