--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -364,7 +364,12 @@
         match self.choose(now, access) {
             Ok(node) => self.hand_off(now, id, node),
             Err(false) if self.settings.aside && !access.write => self.fetch(now, id),
-            Err(_) => self.give_up(now, id),
+            Err(_) => {
+                if !access.hand_offs.is_empty() {
+                    self.feel(now, 1.0);
+                }
+                self.give_up(now, id);
+            }
         }
     }
 
@@ -663,6 +668,13 @@
             node.mean += weight * (wait as f64 - node.mean);
             self.caches.times.learn(wait, SMOOTHING);
         }
+        if outcome.ending != Ending::Full {
+            self.feel(now, used);
+        }
+    }
+
+    /// What an access made of its goal time at the caches: one refused is well if another cache answers it.
+    fn feel(&mut self, now: Micros, used: f64) {
         self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
         // Surplus makes way well before what is within its share.
         for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
