--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -326,7 +326,7 @@
         let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
         let many = self.settings.fleet_size as usize > self.caches.ready;
         let hot = many && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
-        let reach = if hot { (own / (SPILL_FACTOR * mean)).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
+        let reach = if hot { (own / mean).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
         // Their refusals come by chance, from nodes that are free a moment later, unless all are crowded.
         let deep = if many && room && self.caches.admit.now >= 1.0 { RANKS } else { 1 + usize::from(room) };
         for (rank, n) in self.slots.ranks::<RANKS_HOT>(slot, PROBES).enumerate() {
