--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -62,6 +62,8 @@
     pub aside: bool,
     pub origin_kind: Option<u32>,
     pub index: u32,
+    /// Where this proxy is.
+    pub zone: u32,
     pub fleet_size: u32,
     pub max_hand_offs: usize,
     pub peer_messages: bool,
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -339,7 +339,10 @@
                 count += 1;
             }
         }
-        there[..reach.min(count)].rotate_left(access.turn as usize % reach.min(count).max(1));
+        let first = &mut there[..reach.min(count)];
+        first.rotate_left(access.turn as usize % first.len().max(1));
+        // Where several hold the key, one nearby answers sooner and crosses no zones.
+        first.sort_by_key(|&n| self.nodes[n].entry.zone != self.settings.zone);
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = there[..count].iter().copied().filter(|&n| {
             let node = &self.nodes[n];
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -129,6 +129,7 @@
         aside: true,
         origin_kind: Some(ORIGIN_KIND),
         index: 0,
+        zone: 0,
         fleet_size: 1,
         max_hand_offs: 4,
         peer_messages: true,
