--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -76,7 +76,7 @@
     pub sizes_declared: bool,
     pub start_capacity: f64,
     pub ramp_time: Micros,
-    /// What 100 open connections a cache node cost, in new connections an access; 0 where they cost nothing.
+    /// What an open connection a cache node costs, in new connections an access; 0 where they cost nothing.
     pub connection_price: f64,
     /// How long a cold node can be pushed before it falls.
     pub fall: Micros,
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 const SLOTS: usize = 8_192; // slots; room for the claims of some hundreds of nodes in 16 KB an instance
 const CLAIMS: f64 = 32.0; // slots a node of middling size claims; keeps shares within a tenth or so
@@ -56,8 +56,6 @@
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
 const ALLOWANCE_LEAST: f64 = 5.0; // accesses an allowance holds at least, so that a part under one a second is used
 const SHARE_ROOM: f64 = 1.3; // times our part of a share that passes as within it, as parts are guesses
-const SURPLUS_IN_FLIGHT: u32 = 1; // own accesses at a node from which on surplus ones are turned back
-const CONNECTIONS: f64 = 100.0; // the unit in which open connections are priced: 100 a cache node
 const WAKE: u64 = 0; // the one timer label
 
 /// One instance of the decision module.
@@ -65,8 +63,7 @@
     host: H,
     rng: ChaCha8Rng,
     settings: Settings,
-    accesses: FxHashMap<AccessId, Access>,
-    held: BTreeSet<(Micros, AccessId)>,
+    accesses: Accesses,
     joins: BTreeMap<Key, Join>,
     nodes: Vec<Node>,
     by_id: FxHashMap<NodeId, usize>,
@@ -86,8 +83,9 @@
     /// A fresh instance; the kept list follows by `list`.
     pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
-        let guess = || Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
+        let times = Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
         let tells = settings.peer_messages && !settings.quotas.is_empty() && settings.fleet_size > 1;
+        let share = |share: f64| Share { now: share, at: now };
         let tenant = |_: &f64| Tenant { allowance: 1.0, filled_at: now };
         Policy {
             host,
@@ -96,19 +94,13 @@
             tell_at: if tells { now + TELL_EVERY } else { Micros::MAX },
             list_due: if settings.list_on_request { now } else { Micros::MAX },
             settings,
-            accesses: FxHashMap::default(),
-            held: BTreeSet::new(),
+            accesses: Accesses::default(),
             joins: BTreeMap::new(),
             nodes: Vec::new(),
             by_id: FxHashMap::default(),
             slots: Slots::default(),
-            caches: Caches {
-                times: guess(),
-                admit: Share { now: 1.0, at: now },
-                surplus: Share { now: ADMIT_LEAST, at: now },
-                ..Caches::default()
-            },
-            origin: Origin { times: guess(), best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
+            caches: Caches { times, admit: share(1.0), surplus: share(ADMIT_LEAST), ..Caches::default() },
+            origin: Origin { times, best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
             arrivals: Arrivals::default(),
             heat: Heat::new(HEATS),
             list_failures: 0,
@@ -121,17 +113,14 @@
         let Some(case) = self.settings.use_cases.get(arrival.use_case) else {
             return self.host.break_off(&arrival.id);
         };
-        let stretch = case.goal_stretch * arrival.work.unwrap_or(0) as f64;
-        let goal = (now + case.goal_time + stretch as Micros).min(arrival.outer_limit);
-        let useful_until = if case.late_share > 0.0 { arrival.outer_limit } else { goal };
+        let goal = now + case.goal_time + (case.goal_stretch * arrival.work.unwrap_or(0) as f64) as Micros;
+        let useful = if case.late_share > 0.0 { arrival.outer_limit } else { goal.min(arrival.outer_limit) };
         let (id, tenant, write) = (arrival.id.clone(), arrival.tenant, arrival.write);
-        let mut access = Access::new(arrival, now, useful_until);
-        access.turn = self.rng.random();
+        let access = Access::new(arrival, now, useful, self.rng.random());
         let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
         self.heat.add(now, HEAT_FADE, hash(&key));
-        let surplus = self.surplus(now, tenant);
-        if surplus && self.turns_surplus_back(now, &id) {
+        if self.surplus(now, tenant, &id) {
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
@@ -155,7 +144,7 @@
         self.observe(now, node, &outcome, goal);
         // Danger: hundreds of proxies that each keep a connection to each node fill its table and slow it down.
         // A pair that hardly meets again before it would have paid for itself is cut at once.
-        if self.settings.connection_price * f64::from(self.settings.fleet_size) > CONNECTIONS {
+        if self.settings.connection_price * f64::from(self.settings.fleet_size) > 1.0 {
             self.host.close_idle(&self.nodes[node].entry.node);
         }
         let hand_off = self.accesses.get_mut(id).and_then(|a| a.hand_offs.get_mut(outcome.number));
@@ -192,8 +181,8 @@
     pub fn list(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
             // Danger: all instances calling at once, and again at once, keep the list service overbooked.
-            let wait = LIST_RETRY << self.list_failures.min(LIST_RETRY_MOST);
-            let at = now + (wait as f64 * self.rng.random_range(0.5..1.5)) as Micros;
+            let wait = (LIST_RETRY << self.list_failures.min(LIST_RETRY_MOST)) as f64;
+            let at = now + (wait * self.rng.random_range(0.5..1.5)) as Micros;
             self.list_failures += 1;
             self.list_due = if self.settings.list_on_request { at } else { Micros::MAX };
             return self.arm();
@@ -202,13 +191,9 @@
             (self.list_failures, self.list_due) = (0, Micros::MAX);
         }
         if kind != ListKind::Changes {
-            for node in &mut self.nodes {
-                node.entry.standing = Standing::Gone;
-            }
-        }
-        for entry in entries {
-            self.enter(entry);
+            self.nodes.iter_mut().for_each(|node| node.entry.standing = Standing::Gone);
         }
+        entries.into_iter().for_each(|entry| self.enter(entry));
         let ready = |&n: &usize| self.of_origin(n) && self.nodes[n].entry.standing == Standing::Ready;
         self.origin.node = (0..self.nodes.len()).find(ready);
         self.build_slots();
@@ -220,8 +205,7 @@
 
     /// A peer's view of the mean arrivals a proxy: both end near the middle, so that all come to agree.
     pub fn peer_message(&mut self, _now: Micros, _peer: u32, body: &str) {
-        let heard = body.strip_prefix("a ").and_then(|n| n.parse::<f64>().ok());
-        if let Some(heard) = heard.filter(|n| (0.0..1e9).contains(n)) {
+        if let Some(Ok(heard @ 0.0..1e9)) = body.strip_prefix("a ").map(str::parse) {
             self.arrivals.fleet = (self.arrivals.fleet + heard) / 2.0;
         }
     }
@@ -270,19 +254,12 @@
         self.nodes[n].entry.standing == Standing::Ready && !self.of_origin(n)
     }
 
-    /// Share of its capacity that a node surely has.
-    fn warmth(&self, now: Micros, n: usize) -> f64 {
-        let (node, start) = (&self.nodes[n], self.settings.start_capacity);
-        let age = (now - node.entry.started_at).max(0) as f64 / self.settings.ramp_time.max(1) as f64;
-        if node.entry.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
-    }
-
     /// Whether a cache node may get an access of this slot now.
     fn takes(&self, now: Micros, n: usize, slot: u64, cold_too: bool) -> bool {
         let node = &self.nodes[n];
         // Danger: a node that comes back wrongly trusted swallows a burst; it is risked one access at a time.
         let trusted = now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
-        let warmth = self.warmth(now, n);
+        let warmth = node.warmth(now, self.settings.start_capacity, self.settings.ramp_time);
         self.is_cache(n) && trusted && (warmth >= 1.0 || cold_too && self.cold_takes(now, n, slot, warmth))
     }
 
@@ -290,20 +267,20 @@
     /// as it warms, in the proxies' turns while fresh, and never more than a like warm node could do.
     fn cold_takes(&self, now: Micros, n: usize, slot: u64, warmth: f64) -> bool {
         let node = &self.nodes[n];
-        let fresh = now - node.entry.started_at < (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
+        let turns = (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
+        let fresh = now - node.entry.started_at < turns;
         // Turns by number: as many groups of proxies as have theirs in that time, alone where they are few.
-        let groups = ((self.settings.ramp_time as f64 * TURNS_SHARE) as Micros / TURN).max(1) as u32;
-        let groups = groups.min(self.settings.fleet_size.max(1));
+        let groups = ((turns / TURN) as u32).min(self.settings.fleet_size).max(1);
         let turn = (now / TURN) as u32 % groups == self.settings.index % groups;
         // In an overload warm nodes are sent too much, and misses cost little: what they honoured counts.
-        let (honoured, sent) = (&self.caches.honoured, &self.caches.sent);
-        let (honoured, sent) = (honoured.now(now, self.settings.fall), sent.now(now, self.settings.fall));
+        let lately = |pace: &Pace| pace.now(now, self.settings.fall);
+        let (honoured, sent) = (lately(&self.caches.honoured), lately(&self.caches.sent));
         let part = warmth * (honoured / sent.max(1.0)).min(1.0);
         if unit(mix(node.id_hash ^ slot)) > part || fresh && !turn {
             return false;
         }
         let fair = honoured / self.caches.size.max(1.0);
-        node.sent.now(now, self.settings.fall) < fair * node.entry.size * warmth + COLD_SLACK
+        lately(&node.sent) < fair * node.entry.size * warmth + COLD_SLACK
     }
 
     /// The cache node that the access would go to.
@@ -317,9 +294,7 @@
         let slot = hash(&access.key);
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
-        let room = self.origin.node.is_none_or(|origin| self.origin_has_room(now, origin, false));
-        let mut there = [usize::MAX; RANKS_HOT];
-        let mut count = 0;
+        let room = self.origin.node.is_none_or(|o| self.origin_has_room(now, o, false));
         // Danger: hundreds of proxies each have none of their own in flight at the home of a hot key, which all
         // together crowd. What we asked lately stands for it: such a key's reads take turns at more ranks.
         let own = self.heat.of(slot).now(now, HEAT_FADE);
@@ -329,31 +304,25 @@
         let reach = if hot { (own / mean).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
         // Their refusals come by chance, from nodes that are free a moment later, unless all are crowded.
         let deep = if many && room && self.caches.admit.now >= 1.0 { RANKS } else { 1 + usize::from(room) };
-        for (rank, n) in self.slots.ranks::<RANKS_HOT>(slot, PROBES).enumerate() {
-            // Danger: a cold node is pushed over by a hot key, or by what others refused.
-            if count == reach.max(deep) {
-                break;
-            }
-            if self.takes(now, n, slot, rank == 0 && !(many && own >= ASKED_BEFORE)) {
-                there[count] = n;
-                count += 1;
-            }
-        }
-        let first = &mut there[..reach.min(count)];
+        // Danger: a cold node is pushed over by a hot key, or by what others refused.
+        let cold_too = |rank: usize| rank == 0 && !(many && own >= ASKED_BEFORE);
+        let ranks = self.slots.ranks::<RANKS_HOT>(slot, PROBES).enumerate();
+        let takes = ranks.filter(|&(rank, n)| self.takes(now, n, slot, cold_too(rank))).map(|(_, n)| n);
+        let mut there: Vec<usize> = takes.take(reach.max(deep)).collect();
+        let turns = reach.min(there.len());
+        let first = &mut there[..turns];
         first.rotate_left(access.turn as usize % first.len().max(1));
         // Where several hold the key, one nearby answers sooner and crosses no zones.
         first.sort_by_key(|&n| self.nodes[n].entry.zone != self.settings.zone);
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
-        let mut open = there[..count].iter().copied().filter(|&n| {
+        let mut open = there.iter().copied().filter(|&n| {
             let node = &self.nodes[n];
             // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out, of
             // hundreds only as many as its time allows.
-            !access.tried(n)
-                && now >= node.full_until
-                && (node.mean < bearable
-                    || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.mean)
+            let tries = || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.mean;
+            !access.tried(n) && now >= node.full_until && (node.mean < bearable || tries())
         });
-        let home = open.next().ok_or(count > 0)?;
+        let home = open.next().ok_or(!there.is_empty())?;
         let load = self.nodes[home].in_flight;
         let mean = f64::from(self.caches.in_flight) / self.caches.ready.max(1) as f64;
         if load < SPILL_FLOOR || f64::from(load) <= SPILL_FACTOR * mean {
@@ -382,7 +351,7 @@
         self.alone(now, id);
         let Some(join) = ended else { return };
         for follower in join.followers {
-            self.unhold(&follower);
+            self.accesses.unhold(&follower);
             match self.settings.aside {
                 true => self.missed(now, &follower, join.node),
                 false => self.read_through(now, &follower, key.clone()),
@@ -422,10 +391,8 @@
     fn lead(&mut self, now: Micros, id: &AccessId, key: Key, node: usize) {
         if self.joins.len() >= MAX_KEYS {
             self.joins.retain(|_, j| j.leader.is_some() || now - j.served_at < SERVED_WINDOW);
-        }
-        if self.joins.len() < MAX_KEYS {
-            let followers = Vec::new();
-            self.joins.insert(key, Join { leader: Some(id.clone()), node, followers, served_at: 0 });
+        } else {
+            self.joins.insert(key, Join { leader: Some(id.clone()), node, ..Join::default() });
         }
     }
 
@@ -478,7 +445,7 @@
             }
             self.origin.queue.pop_front();
             if queued.is_some() {
-                self.unhold(&id);
+                self.accesses.unhold(&id);
                 self.hand_off(now, &id, origin);
             }
         }
@@ -489,11 +456,9 @@
     fn may_hand_off(&self, now: Micros, access: &Access, n: usize) -> bool {
         let case = &self.settings.use_cases[access.use_case];
         let node = &self.nodes[n];
-        if access.hand_offs.len() >= self.settings.max_hand_offs
-            || node.entry.standing != Standing::Ready
-            || now >= access.outer_limit
-            || access.hand_offs.iter().any(|h| h.ending.is_none())
-        {
+        let over = now >= access.outer_limit || access.hand_offs.len() >= self.settings.max_hand_offs;
+        let out = access.hand_offs.iter().any(|h| h.ending.is_none());
+        if over || out || node.entry.standing != Standing::Ready {
             return false;
         }
         let Some(first) = access.may_have_run() else { return true };
@@ -522,21 +487,18 @@
         let times = if at_origin { &self.origin.times } else { &self.caches.times };
         let left = access.useful_until - now;
         // A further hand-off only if the time left exceeds what it is expected to take.
-        if !self.may_hand_off(now, access, n)
-            || !access.hand_offs.is_empty() && left <= times.expected()
-            || left <= 0
-        {
+        let least = if access.hand_offs.is_empty() { 0 } else { times.expected() };
+        if left <= least || !self.may_hand_off(now, access, n) {
             return self.give_up(now, id);
         }
-        let goal = self.settings.use_cases[access.use_case].goal_time as f64;
-        let patience = (times.mean + PATIENCE * times.deviation).max(goal * PATIENCE_FLOOR) as Micros;
+        let floor = self.settings.use_cases[access.use_case].goal_time as f64 * PATIENCE_FLOOR;
+        let patience = (times.mean + PATIENCE * times.deviation).max(floor) as Micros;
         let allow_for = if at_origin || access.write { left } else { patience.min(left) };
         let node = &mut self.nodes[n];
         node.sent.add(now, self.settings.fall);
         node.in_flight += 1;
         if at_origin {
-            let space = self.origin.times.mean / self.origin.most.min(1.0);
-            self.origin.after = now + space as Micros;
+            self.origin.after = now + (self.origin.times.mean / self.origin.most.min(1.0)) as Micros;
         } else {
             self.caches.in_flight += 1;
             self.caches.sent.add(now, self.settings.fall);
@@ -558,7 +520,7 @@
 
     /// The access is over; where it led, its followers go to its cache, or each alone.
     fn finish(&mut self, now: Micros, id: &AccessId, honoured: bool, node: usize) {
-        self.unhold(id);
+        self.accesses.unhold(id);
         let Some(access) = self.accesses.remove(id) else { return };
         let node = access.missed_at.unwrap_or(node);
         if self.joins.get(&access.key).and_then(|j| j.leader.as_ref()) != Some(id) {
@@ -566,41 +528,26 @@
         }
         let followers = self.joins.remove(&access.key).map_or(Vec::new(), |j| j.followers);
         if honoured && !self.settings.aside {
-            let followers = Vec::new();
-            self.joins.insert(access.key, Join { leader: None, node, followers, served_at: now });
+            self.joins.insert(access.key, Join { node, served_at: now, ..Join::default() });
         }
         for follower in followers {
-            self.unhold(&follower);
-            if honoured && self.is_cache(node) {
-                self.hand_off(now, &follower, node);
-            } else {
-                self.alone(now, &follower);
+            self.accesses.unhold(&follower);
+            match honoured && self.is_cache(node) {
+                true => self.hand_off(now, &follower, node),
+                false => self.alone(now, &follower),
             }
         }
     }
 
     fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
-        if let Some(access) = self.accesses.get_mut(id) {
-            (access.role, access.due) = (role, until);
-            self.held.insert((until, id.clone()));
-        }
+        self.accesses.hold(id, role, until);
         self.arm();
     }
 
-    fn unhold(&mut self, id: &AccessId) {
-        if let Some(access) = self.accesses.get_mut(id)
-            && access.role != Role::Plain
-        {
-            access.role = Role::Plain;
-            self.held.remove(&(access.due, id.clone()));
-        }
-    }
-
     fn arm(&mut self) {
-        let held = self.held.first().map_or(Micros::MAX, |held| held.0);
-        let origin_idle = self.origin.node.is_some_and(|o| self.nodes[o].in_flight == 0);
-        let fetch =
-            if origin_idle && !self.origin.queue.is_empty() { self.origin.after } else { Micros::MAX };
+        let held = self.accesses.first_due();
+        let idle = |o: usize| self.nodes[o].in_flight == 0 && !self.origin.queue.is_empty();
+        let fetch = if self.origin.node.is_some_and(idle) { self.origin.after } else { Micros::MAX };
         let at = held.min(self.tell_at).min(self.list_due).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
@@ -609,10 +556,8 @@
     }
 
     fn upkeep(&mut self, now: Micros) {
-        while let Some((_, id)) = self.held.first().filter(|held| held.0 <= now).cloned() {
-            let role = self.accesses.get(&id).map_or(Role::Plain, |a| a.role);
-            self.unhold(&id);
-            match role {
+        while let Some(id) = self.accesses.due(now) {
+            match self.accesses.unhold(&id) {
                 Role::Following => self.alone(now, &id),
                 _ => self.give_up(now, &id),
             }
@@ -639,10 +584,10 @@
         match outcome.ending {
             Ending::Honoured | Ending::Miss | Ending::Full | Ending::Error => {
                 (node.heard_at, node.strikes, node.skip_until) = (now, 0, 0);
-                if outcome.ending == Ending::Full {
-                    node.full_until = now + (mean * FULL_SHARE) as Micros;
-                } else if outcome.ending == Ending::Honoured && !at_origin {
-                    self.caches.honoured.add(now, self.settings.fall);
+                match outcome.ending {
+                    Ending::Full => node.full_until = now + (mean * FULL_SHARE) as Micros,
+                    Ending::Honoured if !at_origin => self.caches.honoured.add(now, self.settings.fall),
+                    _ => {}
                 }
             }
             // Danger: a node that takes accesses and answers none; skipped here only, the table stands.
@@ -683,10 +628,9 @@
         for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
             // Danger: a proxy that hears little would step seldom, and stay shut or open for long.
             let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
+            let fallen = share.now * ADMIT_FALL.powf(steps);
+            let next = if self.caches.goal_used > most { fallen } else { share.now + ADMIT_RISE * steps };
             if steps > 0.0 {
-                let fall = self.caches.goal_used > most;
-                let next =
-                    if fall { share.now * ADMIT_FALL.powf(steps) } else { share.now + ADMIT_RISE * steps };
                 *share = Share { now: next.clamp(ADMIT_LEAST, 1.0), at: now };
             }
         }
@@ -711,26 +655,23 @@
         }
     }
 
-    /// Whether this arrival lies beyond our part of its tenant's share.
-    fn surplus(&mut self, now: Micros, tenant: usize) -> bool {
+    /// Whether this arrival lies beyond our part of its tenant's share and has to make way. Danger: each of
+    /// hundreds finds its nodes idle of its own while all together crowd them with surplus.
+    fn surplus(&mut self, now: Micros, tenant: usize, id: &AccessId) -> bool {
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
-        let t = &mut self.tenants[tenant];
         self.arrivals.lately += 1;
         let part = self.arrivals.of_mean() / f64::from(self.settings.fleet_size.max(1));
-        !t.take(now, quota * part * SHARE_ROOM, ALLOWANCE_LEAST)
-    }
-
-    /// Danger: each of hundreds finds its nodes idle of its own while all together crowd them with surplus.
-    fn turns_surplus_back(&mut self, now: Micros, id: &AccessId) -> bool {
-        self.rng.random::<f64>() >= self.caches.surplus.now
-            || self.target(now, id).is_none_or(|n| n.in_flight >= SURPLUS_IN_FLIGHT)
+        let within = self.tenants[tenant].take(now, quota * part * SHARE_ROOM, ALLOWANCE_LEAST);
+        let shut = self.rng.random::<f64>() >= self.caches.surplus.now;
+        !within && (shut || self.target(now, id).is_none_or(|n| n.in_flight > 0))
     }
 
     /// Our part of each tenant's share is our part of all arrivals: their mean is found by telling one peer at
     /// a time. Danger: what all tell all grows with the square of their number, and drowns hundreds.
     fn share_quotas(&mut self) {
         self.arrivals.learn(NODE_SMOOTHING, SMOOTHING);
-        let peer = self.rng.random_range(1..self.settings.fleet_size) + self.settings.index;
+        let steps = self.rng.random_range(1..self.settings.fleet_size);
+        let peer = self.settings.index.wrapping_add(steps);
         self.host.tell(peer % self.settings.fleet_size, &format!("a {:.3}", self.arrivals.fleet));
     }
 }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,7 +1,9 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
 use crate::interface::{AccessId, Arrival, Ending, Entry, Group, Key, Micros};
-use std::collections::VecDeque;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, VecDeque};
+use std::ops::{Deref, DerefMut};
 
 /// One hand-off.
 pub(crate) struct HandOff {
@@ -40,7 +42,7 @@
 }
 
 impl Access {
-    pub fn new(arrival: Arrival, arrived: Micros, useful_until: Micros) -> Self {
+    pub fn new(arrival: Arrival, arrived: Micros, useful_until: Micros, turn: u64) -> Self {
         Access {
             use_case: arrival.use_case,
             key: arrival.key.unwrap_or(arrival.id),
@@ -50,7 +52,7 @@
             useful_until,
             hand_offs: Vec::new(),
             missed_at: None,
-            turn: 0,
+            turn,
             role: Role::Plain,
             due: 0,
         }
@@ -64,7 +66,52 @@
     }
 }
 
+/// The accesses not answered yet, and when those held are due.
+#[derive(Default)]
+pub(crate) struct Accesses {
+    by_id: FxHashMap<AccessId, Access>,
+    held: BTreeSet<(Micros, AccessId)>,
+}
+
+impl Accesses {
+    pub fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
+        if let Some(access) = self.by_id.get_mut(id) {
+            (access.role, access.due) = (role, until);
+            self.held.insert((until, id.clone()));
+        }
+    }
+    /// Lets it go, if held, and tells as what it was.
+    pub fn unhold(&mut self, id: &AccessId) -> Role {
+        let Some(access) = self.by_id.get_mut(id) else { return Role::Plain };
+        if access.role != Role::Plain {
+            self.held.remove(&(access.due, id.clone()));
+        }
+        std::mem::replace(&mut access.role, Role::Plain)
+    }
+    pub fn first_due(&self) -> Micros {
+        self.held.first().map_or(Micros::MAX, |held| held.0)
+    }
+    /// One that is due.
+    pub fn due(&self, now: Micros) -> Option<AccessId> {
+        self.held.first().filter(|held| held.0 <= now).map(|held| held.1.clone())
+    }
+}
+
+impl Deref for Accesses {
+    type Target = FxHashMap<AccessId, Access>;
+    fn deref(&self) -> &Self::Target {
+        &self.by_id
+    }
+}
+
+impl DerefMut for Accesses {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.by_id
+    }
+}
+
 /// A key with a fetch out, or (through mode) served lately.
+#[derive(Default)]
 pub(crate) struct Join {
     pub leader: Option<AccessId>,
     pub node: usize,
@@ -92,6 +139,11 @@
 }
 
 impl Node {
+    /// Share of its capacity that it surely has.
+    pub fn warmth(&self, now: Micros, start: f64, ramp: Micros) -> f64 {
+        let age = (now - self.entry.started_at).max(0) as f64 / ramp.max(1) as f64;
+        if self.entry.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
+    }
     pub fn in_group(&self, other: &Node, group: Group) -> bool {
         match group {
             Group::All => true,
@@ -179,7 +231,7 @@
 }
 
 /// Times of answers: mean and mean deviation.
-#[derive(Default)]
+#[derive(Default, Clone, Copy)]
 pub(crate) struct Times {
     pub mean: f64,
     pub deviation: f64,
--- a/crates/flintwell-simhost/src/settings.rs
+++ b/crates/flintwell-simhost/src/settings.rs
@@ -64,7 +64,10 @@
         start_capacity: number(conf, "/guarantees/start_capacity").unwrap_or(1.0),
         ramp_time: span("/guarantees/ramp_time"),
         connection_price: match number(conf, "/penalties/connection").unwrap_or(0.0) {
-            open if open > 0.0 => open / number(conf, "/penalties/handshake").unwrap_or(0.0).max(open / 1e3),
+            // Priced by the hundred.
+            open if open > 0.0 => {
+                open / 100.0 / number(conf, "/penalties/handshake").unwrap_or(0.0).max(open / 1e3)
+            }
             _ => 0.0,
         },
         fall: span("/guarantees/fall"),
