--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -14,20 +14,20 @@
 
 const SLOTS: usize = 8_192; // slots; room for the claims of some hundreds of nodes in 16 KB an instance
 const CLAIMS: f64 = 32.0; // slots a node of middling size claims; keeps shares within a tenth or so
-const PROBES: u64 = 4_096; // slots a key looks at for its caches at most; finds the only one of a fleet of one
+const PROBES: u64 = 4_096; // slots a key looks at for its caches at most; finds even a fleet's only one
 const RANKS: usize = 4; // caches a key's reads may ask: home, spare and two more for when those are out
 const RANKS_HOT: usize = 16; // caches that reads of a hot key take turns at, at most
 const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
 const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
 const HEAT_FADE: Micros = 20_000_000; // us; how long an access counts for its key's heat: some tens of ours
 const HEATS: usize = 512; // counts of heat by key; far more than a proxy that needs them asks for meanwhile
-const ASKED_BEFORE: f64 = 1.5; // accesses; a key that one of many asks for again may be asked for by all of them
+const ASKED_BEFORE: f64 = 1.5; // accesses; a key that one of many asks for again may be asked for by all
 const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
 const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a peer's report
-const ESTIMATE_AGE: f64 = 5_000_000.0; // us; after it one new answer counts more than all before: spells last as long
+const ESTIMATE_AGE: f64 = 5_000_000.0; // us; then one new answer counts more than all before: troubles last as long
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
 const BEARABLE: f64 = 0.22; // of an access's goal time; a node that takes longer on the mean is passed over
@@ -54,7 +54,7 @@
 const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
 const TELL_EVERY: Micros = 1_000_000; // us; between words to one peer each, where shares need them
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
-const ALLOWANCE_LEAST: f64 = 5.0; // accesses an allowance holds at least, so that a part under one a second is used
+const ALLOWANCE_LEAST: f64 = 5.0; // accesses an allowance holds at least: a part may be under one a second
 const SHARE_ROOM: f64 = 1.3; // times our part of a share that passes as within it, as parts are guesses
 const WAKE: u64 = 0; // the one timer label
 
@@ -127,8 +127,7 @@
         } else if self.rng.random::<f64>() >= self.caches.admit.now
             && self.target(now, &id).is_none_or(|node| node.goal_used >= CROWDED)
         {
-            // Danger: crowded nodes answer late and clients come again; by the mean alone, a few hot nodes
-            // would turn back what idle ones could answer.
+            // Danger: crowded nodes answer late; by the mean alone a few hot ones would shut the idle ones.
             self.give_up(now, &id);
         } else if self.settings.aside {
             self.ask_cache(now, &id);
@@ -142,7 +141,7 @@
         let Some(&node) = self.by_id.get(node) else { return };
         let goal = self.accesses.get(id).map(|a| self.settings.use_cases[a.use_case].goal_time as f64);
         self.observe(now, node, &outcome, goal);
-        // Danger: hundreds of proxies that each keep a connection to each node fill its table and slow it down.
+        // Danger: hundreds of proxies that keep a connection to each node fill its table and slow it down.
         // A pair that hardly meets again before it would have paid for itself is cut at once.
         if self.settings.connection_price * f64::from(self.settings.fleet_size) > 1.0 {
             self.host.close_idle(&self.nodes[node].entry.node);
@@ -232,9 +231,9 @@
         node.entry = entry;
     }
 
-    /// One table built alike everywhere from the sorted ready caches; each claims its slots by its id, so that a
-    /// change of members moves only the keys of the node that came or went. Danger: hundreds of proxies that
-    /// each rank the whole fleet at each change have no time for accesses.
+    /// One table built alike everywhere from the sorted ready caches; each claims its slots by its id: a change
+    /// of members moves only the keys of the node that came or went. Danger: hundreds of proxies that each
+    /// rank the whole fleet at each change have no time for accesses.
     fn build_slots(&mut self) {
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
         ready.sort_by(|&a, &b| self.nodes[a].entry.node.cmp(&self.nodes[b].entry.node));
@@ -283,7 +282,6 @@
         lately(&node.sent) < fair * node.entry.size * warmth + COLD_SLACK
     }
 
-    /// The cache node that the access would go to.
     fn target(&self, now: Micros, id: &AccessId) -> Option<&Node> {
         self.choose(now, self.accesses.get(id)?).ok().map(|n| &self.nodes[n])
     }
@@ -295,8 +293,8 @@
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
         let room = self.origin.node.is_none_or(|o| self.origin_has_room(now, o, false));
-        // Danger: hundreds of proxies each have none of their own in flight at the home of a hot key, which all
-        // together crowd. What we asked lately stands for it: such a key's reads take turns at more ranks.
+        // Danger: hundreds of proxies each have none of their own in flight at a hot key's home, which all
+        // crowd together. What we asked lately stands for it: such a key's reads take turns at more ranks.
         let own = self.heat.of(slot).now(now, HEAT_FADE);
         let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
         let many = self.settings.fleet_size as usize > self.caches.ready;
@@ -317,8 +315,8 @@
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = there.iter().copied().filter(|&n| {
             let node = &self.nodes[n];
-            // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out, of
-            // hundreds only as many as its time allows.
+            // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out,
+            // of hundreds only as many as its time allows.
             let tries = || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.mean;
             !access.tried(n) && now >= node.full_until && (node.mean < bearable || tries())
         });
@@ -606,8 +604,8 @@
             Ending::Full => FULL_USED,
             _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
         };
-        // Danger: a proxy that hears of a node twice a minute would judge it by what it was minutes ago.
-        // A refusal tells of a moment only.
+        // Danger: a proxy that hears of a node twice a minute would judge it by what it was minutes ago; but
+        // a refusal tells of a moment only.
         let age = if outcome.ending == Ending::Full { 0 } else { now - node.learned_at };
         let weight = NODE_SMOOTHING.max(1.0 - (-(age as f64) / ESTIMATE_AGE).exp());
         node.learned_at = now;
@@ -666,12 +664,11 @@
         !within && (shut || self.target(now, id).is_none_or(|n| n.in_flight > 0))
     }
 
-    /// Our part of each tenant's share is our part of all arrivals: their mean is found by telling one peer at
-    /// a time. Danger: what all tell all grows with the square of their number, and drowns hundreds.
+    /// Our part of each tenant's share is our part of all arrivals: their mean is found by telling one peer
+    /// at a time. Danger: what all tell all grows with the square of their number, and drowns hundreds.
     fn share_quotas(&mut self) {
         self.arrivals.learn(NODE_SMOOTHING, SMOOTHING);
-        let steps = self.rng.random_range(1..self.settings.fleet_size);
-        let peer = self.settings.index.wrapping_add(steps);
+        let peer = self.settings.index.wrapping_add(self.rng.random_range(1..self.settings.fleet_size));
         self.host.tell(peer % self.settings.fleet_size, &format!("a {:.3}", self.arrivals.fleet));
     }
 }
