--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -218,3 +218,74 @@
     assert_eq!(play.node_of(&one), slow, "with none of ours out, one tries");
     assert_ne!(play.node_of(&two), slow);
 }
+
+fn hundreds() -> Settings {
+    Settings { fleet_size: 400, index: 123, ..settings() }
+}
+
+/// None of hundreds has two in flight at a hot key's home, which all together crowded.
+#[test]
+fn one_of_hundreds_spreads_a_key_it_asks_for_often() {
+    let mut play = Play::new(hundreds(), 8);
+    let mut caches: Vec<_> = (0..40)
+        .map(|n| {
+            let id = play.arrive(0, &if n % 2 == 0 { "hot".into() } else { id_of(n) }, false);
+            let cache = play.node_of(&id).filter(|_| n % 2 == 0);
+            play.end(&id, Ending::Honoured);
+            play.pass(100 * MS);
+            cache
+        })
+        .collect();
+    caches.sort();
+    caches.dedup();
+    assert!(caches.iter().flatten().count() >= 3, "{caches:?}");
+}
+
+fn id_of(n: usize) -> String {
+    format!("k{n}")
+}
+
+/// What hundreds each asked for before crowded a cold home, which fell.
+#[test]
+fn a_cold_node_gets_no_key_that_one_of_hundreds_asked_for_before() {
+    let mut play = Play::new(hundreds(), 30);
+    let to_cold = |play: &mut Play, keys: std::ops::Range<usize>| -> usize {
+        let mut to_cold = 0;
+        for n in keys {
+            let id = play.arrive(0, &id_of(n), false);
+            to_cold += usize::from(play.node_of(&id) == Some(entry(2, Standing::Ready, 0).node));
+            play.end(&id, Ending::Honoured);
+            play.pass(5 * MS);
+        }
+        to_cold
+    };
+    assert!(to_cold(&mut play, 0..400) > 4);
+    restarted(&mut play, 2);
+    play.pass(4 * SECOND);
+    assert_eq!(to_cold(&mut play, 0..400), 0);
+    assert!(to_cold(&mut play, 400..1200) > 0);
+}
+
+/// Few slots a node gave some of a hundred nodes twice the share of others.
+#[test]
+fn shares_are_even_over_a_hundred_nodes() {
+    let mut play = Play::new(settings(), 119);
+    let mut counts = std::collections::BTreeMap::new();
+    for n in 0..11_900 {
+        let id = play.arrive(0, &id_of(n), false);
+        *counts.entry(play.node_of(&id)).or_insert(0) += 1;
+        play.end(&id, Ending::Honoured);
+    }
+    assert!(counts.len() == 119 && counts.values().all(|n| (55..150).contains(n)), "{counts:?}");
+}
+
+/// Tables of open connections filled up and slowed the nodes down.
+#[test]
+fn hundreds_keep_no_idle_connections_where_these_are_dear() {
+    for (fleet_size, closes) in [(4, 0), (400, 1)] {
+        let mut play = Play::new(Settings { fleet_size, connection_price: 0.01, ..settings() }, 5);
+        let id = play.arrive(0, "k", false);
+        play.end(&id, Ending::Honoured);
+        assert_eq!(play.world.0.borrow().closes, closes);
+    }
+}
