--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -125,7 +125,7 @@
         } else if write {
             self.write_passes(now, &id, &key);
         } else if self.rng.random::<f64>() >= self.caches.admit.now
-            && self.target(now, &id).is_none_or(|node| node.goal_used >= CROWDED)
+            && self.target(now, &id).is_none_or(|node| node.goal_used.mean >= CROWDED)
         {
             // Danger: crowded nodes answer late; by the mean alone a few hot ones would shut the idle ones.
             self.give_up(now, &id);
@@ -317,8 +317,9 @@
             let node = &self.nodes[n];
             // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out,
             // of hundreds only as many as its time allows.
-            let tries = || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.mean;
-            !access.tried(n) && now >= node.full_until && (node.mean < bearable || tries())
+            let tries =
+                || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.time.mean;
+            !access.tried(n) && now >= node.full_until && (node.time.mean < bearable || tries())
         });
         let home = open.next().ok_or(!there.is_empty())?;
         let load = self.nodes[home].in_flight;
@@ -602,16 +603,14 @@
         let used = match outcome.ending {
             Ending::CalledOff | Ending::NotSent => return,
             Ending::Full => FULL_USED,
-            _ => goal.map_or(self.caches.goal_used, |goal| wait as f64 / goal.max(1.0)),
+            _ => goal.map_or(self.caches.goal_used.mean, |goal| wait as f64 / goal.max(1.0)),
         };
         // Danger: a proxy that hears of a node twice a minute would judge it by what it was minutes ago; but
         // a refusal tells of a moment only.
-        let age = if outcome.ending == Ending::Full { 0 } else { now - node.learned_at };
-        let weight = NODE_SMOOTHING.max(1.0 - (-(age as f64) / ESTIMATE_AGE).exp());
-        node.learned_at = now;
-        node.goal_used += weight * (used - node.goal_used);
+        let age = if outcome.ending == Ending::Full { f64::INFINITY } else { ESTIMATE_AGE };
+        node.goal_used.learn(now, used, NODE_SMOOTHING, age);
         if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
-            node.mean += weight * (wait as f64 - node.mean);
+            node.time.learn(now, wait as f64, NODE_SMOOTHING, age);
             self.caches.times.learn(wait, SMOOTHING);
         }
         if outcome.ending != Ending::Full {
@@ -621,13 +620,15 @@
 
     /// What an access made of its goal time at the caches: one refused is well if another cache answers it.
     fn feel(&mut self, now: Micros, used: f64) {
-        self.caches.goal_used += SMOOTHING * (used - self.caches.goal_used);
+        // Danger: one that admits little hears little; by old answers alone it would stay shut for long.
+        self.caches.goal_used.learn(now, used, SMOOTHING, ESTIMATE_AGE);
         // Surplus makes way well before what is within its share.
         for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
-            // Danger: a proxy that hears little would step seldom, and stay shut or open for long.
+            // And it would step seldom.
             let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
             let fallen = share.now * ADMIT_FALL.powf(steps);
-            let next = if self.caches.goal_used > most { fallen } else { share.now + ADMIT_RISE * steps };
+            let next =
+                if self.caches.goal_used.mean > most { fallen } else { share.now + ADMIT_RISE * steps };
             if steps > 0.0 {
                 *share = Share { now: next.clamp(ADMIT_LEAST, 1.0), at: now };
             }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -129,10 +129,9 @@
     pub strikes: u32,
     pub skip_until: Micros,
     pub full_until: Micros,
-    /// Its mean answer time, and the share of their goal time that its answers use up.
-    pub mean: f64,
-    pub goal_used: f64,
-    pub learned_at: Micros,
+    /// Its answer time, and the share of their goal time that its answers use up.
+    pub time: Mean,
+    pub goal_used: Mean,
     /// Sent to it lately.
     pub sent: Pace,
     pub id_hash: u64,
@@ -204,7 +203,7 @@
     pub in_flight: u32,
     pub times: Times,
     /// Share of its own goal time that an answer takes, on the mean.
-    pub goal_used: f64,
+    pub goal_used: Mean,
     /// Shares of reads and of surplus admitted.
     pub admit: Share,
     pub surplus: Share,
@@ -230,6 +229,21 @@
     pub queue: VecDeque<AccessId>,
 }
 
+/// A mean whose weight for a new value grows with the age of the last.
+#[derive(Default, Clone, Copy)]
+pub(crate) struct Mean {
+    pub mean: f64,
+    at: Micros,
+}
+
+impl Mean {
+    /// A silence of `age` leaves little of what was known.
+    pub fn learn(&mut self, now: Micros, value: f64, weight: f64, age: f64) {
+        let weight = weight.max(1.0 - (-((now - self.at) as f64) / age).exp());
+        *self = Mean { mean: self.mean + weight * (value - self.mean), at: now };
+    }
+}
+
 /// Times of answers: mean and mean deviation.
 #[derive(Default, Clone, Copy)]
 pub(crate) struct Times {
