--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -41,6 +41,7 @@
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
+const CROWDED_SURPLUS: f64 = 0.13; // the same for surplus, which makes way well before the rest suffers
 const CONTROL: Micros = 100_000; // us; between steps of the share admitted: an answer time or so
 const STEPS_MOST: i64 = 20; // steps made up for at one answer after a silence
 const ADMIT_FALL: f64 = 0.9; // factor on the share admitted while crowded; halves it in under a second
@@ -622,9 +623,8 @@
     fn feel(&mut self, now: Micros, used: f64) {
         // Danger: one that admits little hears little; by old answers alone it would stay shut for long.
         self.caches.goal_used.learn(now, used, SMOOTHING, ESTIMATE_AGE);
-        // Surplus makes way well before what is within its share.
-        for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED / 2.0)] {
-            // And it would step seldom.
+        for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED_SURPLUS)]
+        {
             let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
             let fallen = share.now * ADMIT_FALL.powf(steps);
             let next =
