--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -126,7 +126,8 @@
         } else if write {
             self.write_passes(now, &id, &key);
         } else if self.rng.random::<f64>() >= self.caches.admit.now
-            && self.target(now, &id).is_none_or(|node| node.goal_used.mean >= CROWDED)
+            && (self.caches.goal_used.mean >= 1.0
+                || self.target(now, &id).is_none_or(|node| node.goal_used.mean >= CROWDED))
         {
             // Danger: crowded nodes answer late; by the mean alone a few hot ones would shut the idle ones.
             self.give_up(now, &id);
