--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -27,7 +27,7 @@
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
 const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a peer's report
-const ESTIMATE_AGE: f64 = 5_000_000.0; // us; then one new answer counts more than all before: troubles last as long
+const ESTIMATE_AGE: f64 = 5_000_000.0; // us; from then on one new answer counts more than all before it
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
 const BEARABLE: f64 = 0.22; // of an access's goal time; a node that takes longer on the mean is passed over
@@ -41,6 +41,7 @@
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
+const NOT_TAKEN: f64 = 2.0; // of its goal time; what an access counts for that no cache took and that comes again
 const CROWDED_SURPLUS: f64 = 0.13; // the same for surplus, which makes way well before the rest suffers
 const CONTROL: Micros = 100_000; // us; between steps of the share admitted: an answer time or so
 const STEPS_MOST: i64 = 20; // steps made up for at one answer after a silence
@@ -121,14 +122,13 @@
         let key = access.key.clone();
         self.accesses.insert(id.clone(), access);
         self.heat.add(now, HEAT_FADE, hash(&key));
+        let late = self.caches.goal_used.mean >= 1.0;
+        let shut = self.rng.random::<f64>() >= self.caches.admit.now;
         if self.surplus(now, tenant, &id) {
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
-        } else if self.rng.random::<f64>() >= self.caches.admit.now
-            && (self.caches.goal_used.mean >= 1.0
-                || self.target(now, &id).is_none_or(|node| node.goal_used.mean >= CROWDED))
-        {
+        } else if shut && (late || self.target(now, &id).is_none_or(|n| n.goal_used.mean >= CROWDED)) {
             // Danger: crowded nodes answer late; by the mean alone a few hot ones would shut the idle ones.
             self.give_up(now, &id);
         } else if self.settings.aside {
@@ -233,9 +233,8 @@
         node.entry = entry;
     }
 
-    /// One table built alike everywhere from the sorted ready caches; each claims its slots by its id: a change
-    /// of members moves only the keys of the node that came or went. Danger: hundreds of proxies that each
-    /// rank the whole fleet at each change have no time for accesses.
+    /// Built alike everywhere from the sorted ready caches; each claims slots by its id, so that only keys
+    /// of one that comes or goes move. Danger: to rank all by all at each change leaves hundreds no time.
     fn build_slots(&mut self) {
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
         ready.sort_by(|&a, &b| self.nodes[a].entry.node.cmp(&self.nodes[b].entry.node));
@@ -338,9 +337,8 @@
             Ok(node) => self.hand_off(now, id, node),
             Err(false) if self.settings.aside && !access.write => self.fetch(now, id),
             Err(_) => {
-                if !access.hand_offs.is_empty() {
-                    self.feel(now, 1.0);
-                }
+                let refused = !access.hand_offs.is_empty();
+                refused.then(|| self.feel(now, NOT_TAKEN));
                 self.give_up(now, id);
             }
         }
@@ -452,8 +450,7 @@
         }
     }
 
-    // ---- the rules, checked at one place just before a hand-off or a turn-back ----
-
+    // The rules, checked at one place just before a hand-off or a turn-back.
     fn may_hand_off(&self, now: Micros, access: &Access, n: usize) -> bool {
         let case = &self.settings.use_cases[access.use_case];
         let node = &self.nodes[n];
