--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -41,7 +41,7 @@
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
-const NOT_TAKEN: f64 = 2.0; // of its goal time; what an access counts for that no cache took and that comes again
+const NOT_TAKEN: f64 = 2.0; // of its goal time; what an access counts for that no cache took
 const CROWDED_SURPLUS: f64 = 0.13; // the same for surplus, which makes way well before the rest suffers
 const CONTROL: Micros = 100_000; // us; between steps of the share admitted: an answer time or so
 const STEPS_MOST: i64 = 20; // steps made up for at one answer after a silence
@@ -239,6 +239,7 @@
         let mut ready: Vec<usize> = (0..self.nodes.len()).filter(|&n| self.is_cache(n)).collect();
         ready.sort_by(|&a, &b| self.nodes[a].entry.node.cmp(&self.nodes[b].entry.node));
         self.caches.ready = ready.len();
+        self.caches.few = self.settings.fleet_size as usize > ready.len();
         self.caches.size = ready.iter().map(|&n| self.nodes[n].entry.size).sum();
         // Sizes have no unit; a power of two near their mean hardly ever moves.
         let unit = (self.caches.size / ready.len().max(1) as f64).max(1e-9).log2().round().exp2();
@@ -298,13 +299,13 @@
         // crowd together. What we asked lately stands for it: such a key's reads take turns at more ranks.
         let own = self.heat.of(slot).now(now, HEAT_FADE);
         let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
-        let many = self.settings.fleet_size as usize > self.caches.ready;
-        let hot = many && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
+        let hot = self.caches.few && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
         let reach = if hot { (own / mean).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
         // Their refusals come by chance, from nodes that are free a moment later, unless all are crowded.
-        let deep = if many && room && self.caches.admit.now >= 1.0 { RANKS } else { 1 + usize::from(room) };
+        let open = room && self.caches.few && self.caches.admit.now >= 1.0;
+        let deep = if open { RANKS } else { 1 + usize::from(room) };
         // Danger: a cold node is pushed over by a hot key, or by what others refused.
-        let cold_too = |rank: usize| rank == 0 && !(many && own >= ASKED_BEFORE);
+        let cold_too = |rank: usize| rank == 0 && !(self.caches.few && own >= ASKED_BEFORE);
         let ranks = self.slots.ranks::<RANKS_HOT>(slot, PROBES).enumerate();
         let takes = ranks.filter(|&(rank, n)| self.takes(now, n, slot, cold_too(rank))).map(|(_, n)| n);
         let mut there: Vec<usize> = takes.take(reach.max(deep)).collect();
@@ -543,10 +544,9 @@
     }
 
     fn arm(&mut self) {
-        let held = self.accesses.first_due();
         let idle = |o: usize| self.nodes[o].in_flight == 0 && !self.origin.queue.is_empty();
         let fetch = if self.origin.node.is_some_and(idle) { self.origin.after } else { Micros::MAX };
-        let at = held.min(self.tell_at).min(self.list_due).min(fetch);
+        let at = self.accesses.first_due().min(self.tell_at).min(self.list_due).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
             self.host.wake_at(WAKE, at);
@@ -612,7 +612,7 @@
             node.time.learn(now, wait as f64, NODE_SMOOTHING, age);
             self.caches.times.learn(wait, SMOOTHING);
         }
-        if outcome.ending != Ending::Full {
+        if outcome.ending != Ending::Full || !self.caches.few {
             self.feel(now, used);
         }
     }
