--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -1,9 +1,8 @@
 //! Every decision of flintwell.
 //!
-//! For the caller: the interface (settings, ids, outcomes, the `Host` to be handed in) is defined in
-//! `interface.rs`. Make one `Policy` per instance with `Policy::start`, then call one method for each thing
-//! that happens, with the host's clock, which never goes back. The module answers by calling the host; it
-//! keeps no clock, does no I/O and shares nothing with other instances.
+//! For the caller: the interface (settings, ids, outcomes, the `Host` to be handed in) is in `interface.rs`.
+//! Make one `Policy` per instance with `Policy::start`, then call one method for each thing that happens,
+//! with the host's clock, which never goes back. The module answers by calling the host; it shares nothing.
 
 use crate::interface::*;
 use crate::state::*;
@@ -102,7 +101,7 @@
             by_id: FxHashMap::default(),
             slots: Slots::default(),
             caches: Caches { times, admit: share(1.0), surplus: share(ADMIT_LEAST), ..Caches::default() },
-            origin: Origin { times, best: f64::MAX, most: FETCHES_FIRST, ..Origin::default() },
+            origin: Origin { times, best: f64::MAX, most: FETCHES_FIRST, heard_at: now, ..Origin::default() },
             arrivals: Arrivals::default(),
             heat: Heat::new(HEATS),
             list_failures: 0,
@@ -211,7 +210,6 @@
         }
     }
 
-    /// A timer is due.
     pub fn timer(&mut self, now: Micros, label: u64) {
         if label == WAKE && now >= self.next_wake {
             self.next_wake = Micros::MAX;
@@ -643,12 +641,14 @@
             Ending::Miss | Ending::CalledOff | Ending::NotSent => return,
             _ => true,
         };
+        // Danger: one of hundreds, with a fetch a second, would take half a minute to cut its limit.
+        let cuts = self.origin.silence(now).clamp(1, STEPS_MOST) as i32;
         let used = self.origin.node.map_or(0, |o| self.nodes[o].in_flight + 1);
         if !strained && f64::from(used) >= self.origin.most / 2.0 {
             self.origin.most += 1.0 / self.origin.most.max(1.0);
         } else if strained && now - self.origin.cut_at >= self.origin.times.expected() {
+            self.origin.most = (self.origin.most * FETCHES_CUT.powi(cuts)).max(FETCHES_LEAST);
             self.origin.cut_at = now;
-            self.origin.most = (self.origin.most * FETCHES_CUT).max(FETCHES_LEAST);
         }
     }
 
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -224,6 +224,7 @@
     pub node: Option<usize>,
     pub times: Times,
     pub best: f64,
+    pub heard_at: Micros,
     /// Fetches that may be out at once; under one they are spaced out.
     pub most: f64,
     pub cut_at: Micros,
@@ -231,6 +232,13 @@
     pub queue: VecDeque<AccessId>,
 }
 
+impl Origin {
+    /// How many of its answer times have passed since it was last heard; it is heard now.
+    pub fn silence(&mut self, now: Micros) -> Micros {
+        (now - std::mem::replace(&mut self.heard_at, now)) / self.times.expected().max(1)
+    }
+}
+
 /// A mean whose weight for a new value grows with the age of the last.
 #[derive(Default, Clone, Copy)]
 pub(crate) struct Mean {
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -289,3 +289,16 @@
         assert_eq!(play.world.0.borrow().closes, closes);
     }
 }
+
+/// A burst of hundreds stopped the origin while each still cut its limit by a fifth a second.
+#[test]
+fn one_that_fetches_seldom_cuts_its_limit_at_the_first_time_out() {
+    let mut play = Play::new(hundreds(), 8);
+    for n in 0..3 {
+        let write = play.arrive(1, &id_of(n), true);
+        play.pass(if n == 0 { 30 * MS } else { 3 * SECOND });
+        play.end(&write, if n == 0 { Ending::Honoured } else { Ending::TimedOut });
+    }
+    let ids: Vec<_> = (10..14).map(|n| play.arrive(1, &id_of(n), true)).collect();
+    assert_eq!(ids.iter().filter(|id| play.node_of(id).is_some()).count(), 1);
+}
