Hash a key once an access; no new slot table for an empty list answer; one way to name test keys

Most answers to a watch bring no entries, and each had rebuilt the table; a key was hashed again at every choice.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -25,7 +25,7 @@
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
-const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a peer's report
+const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a second's arrivals
 const ESTIMATE_AGE: f64 = 5_000_000.0; // us; from then on one new answer counts more than all before it
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
@@ -119,8 +119,8 @@
         let (id, tenant, write) = (arrival.id.clone(), arrival.tenant, arrival.write);
         let access = Access::new(arrival, now, useful, self.rng.random());
         let key = access.key.clone();
+        self.heat.add(now, HEAT_FADE, access.slot);
         self.accesses.insert(id.clone(), access);
-        self.heat.add(now, HEAT_FADE, hash(&key));
         let late = self.caches.goal_used.mean >= 1.0;
         let shut = self.rng.random::<f64>() >= self.caches.admit.now;
         if self.surplus(now, tenant, &id) {
@@ -193,10 +193,11 @@
         if kind != ListKind::Changes {
             self.nodes.iter_mut().for_each(|node| node.entry.standing = Standing::Gone);
         }
+        let same = kind == ListKind::Changes && entries.is_empty();
         entries.into_iter().for_each(|entry| self.enter(entry));
         let ready = |&n: &usize| self.of_origin(n) && self.nodes[n].entry.standing == Standing::Ready;
         self.origin.node = (0..self.nodes.len()).find(ready);
-        self.build_slots();
+        (!same).then(|| self.build_slots());
         self.upkeep(now);
     }
 
@@ -289,13 +290,12 @@
     /// The home, or the spare when the home has more than its part of our own accesses in flight. `Err` tells
     /// whether caches that take the key are there at all.
     fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
-        let slot = hash(&access.key);
         // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
         // refusal would become a fetch, and with no room at the origin a turn-back.
         let room = self.origin.node.is_none_or(|o| self.origin_has_room(now, o, false));
         // Danger: hundreds of proxies each have none of their own in flight at a hot key's home, which all
         // crowd together. What we asked lately stands for it: such a key's reads take turns at more ranks.
-        let own = self.heat.of(slot).now(now, HEAT_FADE);
+        let own = self.heat.of(access.slot).now(now, HEAT_FADE);
         let mean = self.heat.all.now(now, HEAT_FADE) / self.caches.ready.max(1) as f64;
         let hot = self.caches.few && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
         let reach = if hot { (own / mean).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
@@ -304,9 +304,9 @@
         let deep = if open { RANKS } else { 1 + usize::from(room) };
         // Danger: a cold node is pushed over by a hot key, or by what others refused.
         let cold_too = |rank: usize| rank == 0 && !(self.caches.few && own >= ASKED_BEFORE);
-        let ranks = self.slots.ranks::<RANKS_HOT>(slot, PROBES).enumerate();
-        let takes = ranks.filter(|&(rank, n)| self.takes(now, n, slot, cold_too(rank))).map(|(_, n)| n);
-        let mut there: Vec<usize> = takes.take(reach.max(deep)).collect();
+        let takes = |&(rank, n): &(usize, usize)| self.takes(now, n, access.slot, cold_too(rank));
+        let ranks = self.slots.ranks::<RANKS_HOT>(access.slot, PROBES).enumerate().filter(takes);
+        let mut there: Vec<usize> = ranks.map(|(_, n)| n).take(reach.max(deep)).collect();
         let turns = reach.min(there.len());
         let first = &mut there[..turns];
         first.rotate_left(access.turn as usize % first.len().max(1));
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Access {
     pub use_case: usize,
     pub key: Key,
+    /// The key's hash, by which it finds its slots and its heat.
+    pub slot: u64,
     pub write: bool,
     pub arrived: Micros,
     pub outer_limit: Micros,
@@ -43,9 +45,11 @@
 
 impl Access {
     pub fn new(arrival: Arrival, arrived: Micros, useful_until: Micros, turn: u64) -> Self {
+        let key = arrival.key.unwrap_or(arrival.id);
         Access {
             use_case: arrival.use_case,
-            key: arrival.key.unwrap_or(arrival.id),
+            slot: hash(&key),
+            key,
             write: arrival.write,
             arrived,
             outer_limit: arrival.outer_limit,
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -229,7 +229,7 @@
     let mut play = Play::new(hundreds(), 8);
     let mut caches: Vec<_> = (0..40)
         .map(|n| {
-            let id = play.arrive(0, &if n % 2 == 0 { "hot".into() } else { id_of(n) }, false);
+            let id = play.arrive(0, &if n % 2 == 0 { "hot".into() } else { format!("k{n}") }, false);
             let cache = play.node_of(&id).filter(|_| n % 2 == 0);
             play.end(&id, Ending::Honoured);
             play.pass(100 * MS);
@@ -241,10 +241,6 @@
     assert!(caches.iter().flatten().count() >= 3, "{caches:?}");
 }
 
-fn id_of(n: usize) -> String {
-    format!("k{n}")
-}
-
 /// What hundreds each asked for before crowded a cold home, which fell.
 #[test]
 fn a_cold_node_gets_no_key_that_one_of_hundreds_asked_for_before() {
@@ -252,7 +248,7 @@
     let to_cold = |play: &mut Play, keys: std::ops::Range<usize>| -> usize {
         let mut to_cold = 0;
         for n in keys {
-            let id = play.arrive(0, &id_of(n), false);
+            let id = play.arrive(0, &format!("k{n}"), false);
             to_cold += usize::from(play.node_of(&id) == Some(entry(2, Standing::Ready, 0).node));
             play.end(&id, Ending::Honoured);
             play.pass(5 * MS);
@@ -272,7 +268,7 @@
     let mut play = Play::new(settings(), 119);
     let mut counts = std::collections::BTreeMap::new();
     for n in 0..11_900 {
-        let id = play.arrive(0, &id_of(n), false);
+        let id = play.arrive(0, &format!("k{n}"), false);
         *counts.entry(play.node_of(&id)).or_insert(0) += 1;
         play.end(&id, Ending::Honoured);
     }
@@ -295,10 +291,10 @@
 fn one_that_fetches_seldom_cuts_its_limit_at_the_first_time_out() {
     let mut play = Play::new(hundreds(), 8);
     for n in 0..3 {
-        let write = play.arrive(1, &id_of(n), true);
+        let write = play.arrive(1, &format!("k{n}"), true);
         play.pass(if n == 0 { 30 * MS } else { 3 * SECOND });
         play.end(&write, if n == 0 { Ending::Honoured } else { Ending::TimedOut });
     }
-    let ids: Vec<_> = (10..14).map(|n| play.arrive(1, &id_of(n), true)).collect();
+    let ids: Vec<_> = (10..14).map(|n| play.arrive(1, &format!("k{n}"), true)).collect();
     assert_eq!(ids.iter().filter(|id| play.node_of(id).is_some()).count(), 1);
 }
