--- a/crates/flintwell-simhost/src/settings.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decodes an instance's settings; what is not read is skipped.
+//! Decodes an instance's settings, for the module and for the hosts round it; what is not read is skipped.
 
 use flintwell_core::interface::{Effect, Group, Micros, Settings, UseCase};
 use serde_json::Value;
@@ -25,7 +25,7 @@
 
 fn use_case(value: &Value) -> Result<UseCase, String> {
     let span = |name: &str| number(value, name).map(micros);
-    let need = |name: &str| span(name).ok_or_else(|| format!("conf: use_cases needs {}", &name[1..]));
+    let need = |name: &str| span(name).ok_or_else(|| format!("settings: use_cases needs {}", &name[1..]));
     Ok(UseCase {
         // An effect or a group that is not known is taken for the strictest.
         effect: match text(value, "/effect") {
@@ -73,3 +73,39 @@
         fall: span("/guarantees/fall"),
     })
 }
+
+/// What a proxy on sockets needs beside the module: names as they stand in headers and lists, and the
+/// figures of connections.
+#[derive(Clone, Debug)]
+pub struct Network {
+    pub use_cases: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// A connection that is not up by then counts as failed.
+    pub dial_within: Micros,
+    /// A cache node closes a connection that has been idle for this long.
+    pub idle_most: Micros,
+}
+
+pub fn decode_network(conf: &Value) -> Result<Network, String> {
+    let names = |path: &str, name: &str| -> Vec<String> {
+        list(conf, path).iter().map(|entry| text(entry, name).unwrap_or_default().to_owned()).collect()
+    };
+    let need = |path: &str| {
+        let span = number(conf, path).filter(|&span| span > 0.0).map(micros);
+        span.ok_or_else(|| format!("settings: {} is missing or not above 0", &path[1..].replace('/', ".")))
+    };
+    let use_cases = names("/use_cases", "/name");
+    if use_cases.is_empty() || use_cases.iter().any(String::is_empty) {
+        return Err("settings: use_cases is empty, or one has no name".into());
+    }
+    Ok(Network {
+        use_cases,
+        tenants: names("/realms", "/name"),
+        zones: names("/zones", ""),
+        kinds: names("/flavors", ""),
+        dial_within: need("/limits/dial_timeout")?,
+        idle_most: need("/limits/keepalive")?,
+    })
+}
--- a/crates/flintwell-simhost/src/main.rs
+++ b/crates/flintwell-simhost/src/main.rs
@@ -1,6 +1,5 @@
 //! The bench's wire: decodes what happens, calls the instance's decision module, writes what it answers.
 
-mod settings;
 mod wire;
 
 use std::io::{BufRead, Write};
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -1,10 +1,10 @@
 //! Reads each event by position straight into a call, and writes each answer straight into the reply.
 
-use crate::settings::{decode, micros};
 use flintwell_core::interface::{
     AccessId, Arrival, Ending, Entry, Host, Key, ListKind, Micros, NodeId, Outcome, Standing,
 };
 use flintwell_core::policy::Policy;
+use flintwell_settings::{decode, micros};
 use serde::Deserialize;
 use serde::de::{DeserializeSeed, Error, IgnoredAny, SeqAccess, Visitor};
 use serde_json::Value;
--- /dev/null
+++ b/crates/flintwell/src/access.rs
@@ -0,0 +1,43 @@
+//! The life of one access, from top to bottom; the module chooses at each point of choice.
+
+use crate::answer::Answer;
+use crate::decode::Access;
+use crate::desk::{Desk, Step};
+use crate::handoff::{HandOff, HandOffs};
+use flintwell_core::interface::Ending;
+use std::rc::Rc;
+use tower::{Service, ServiceExt};
+
+pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &mut HandOffs) -> Answer {
+    let access = Rc::new(access);
+    let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
+    let outer_limit = access.outer_limit(desk.clock.now());
+    seat.arrives(access.arrival(outer_limit));
+    loop {
+        match seat.next(outer_limit).await {
+            Some(Step::HandOff { node, allow_for }) => {
+                let sent_at = desk.clock.now();
+                seat.sends(&node);
+                let hand_off = HandOff { access: access.clone(), node, allow_for };
+                let ended = match hand_offs.ready().await {
+                    Ok(service) => service.call(hand_off).await,
+                    Err(broken) => Err(broken),
+                };
+                let wait = desk.clock.now() - sent_at;
+                match ended {
+                    Ok(answered) => {
+                        seat.ended(answered.ending, wait);
+                        if answered.ending == Ending::Honoured {
+                            return Answer::Honoured(answered.body);
+                        }
+                    }
+                    Err(broken) => seat.ended(broken.ending(), wait),
+                }
+            }
+            Some(Step::TurnBack { stay_away }) => return Answer::TurnedBack { stay_away },
+            // Danger: an access nobody answers by its outer limit is lost; whatever the module does, it is
+            // broken off then, which promises nothing.
+            Some(Step::BreakOff) | None => return Answer::BrokenOff,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintwell/src/config.rs
@@ -0,0 +1,92 @@
+//! The configuration file: read once at start, checked whole before anything is opened.
+
+use crate::discovery::Listing;
+use flintwell_core::interface::Settings;
+use flintwell_settings::{Network, decode, decode_network};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+
+const SOCKETS: usize = 1_024; // descriptors; the usual limit of a process, where none is given
+const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default)]
+    sockets: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Option<Limits>,
+    #[serde(default)]
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    known: Listing,
+    settings: Value,
+}
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub peer_listen: Option<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
+    pub known: Listing,
+    pub settings: Settings,
+    pub network: Network,
+}
+
+pub fn read(path: &Path) -> Result<Config, String> {
+    let place = |error: &dyn std::fmt::Display| format!("{}: {error}", path.display());
+    let text = std::fs::read(path).map_err(|e| place(&e))?;
+    decode_config(&text).map_err(|e| place(&e))
+}
+
+pub fn decode_config(text: &[u8]) -> Result<Config, String> {
+    let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let sockets = file.limits.and_then(|limits| limits.sockets).unwrap_or(SOCKETS);
+    if sockets < SOCKETS_LEAST {
+        return Err(format!("limits.sockets is {sockets}; {SOCKETS_LEAST} are the least"));
+    }
+    let settings = decode(&file.settings)?;
+    if settings.peer_messages && !file.peers.is_empty() && file.peers.len() <= settings.index as usize {
+        return Err(format!("peers has {} entries, but our index is {}", file.peers.len(), settings.index));
+    }
+    Ok(Config {
+        name: file.name,
+        listen: file.listen,
+        discovery: file.discovery,
+        seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?,
+        sockets,
+        peer_listen: file.peer_listen,
+        peers: file.peers,
+        known: file.known,
+        network: decode_network(&file.settings)?,
+        settings,
+    })
+}
+
+impl std::fmt::Display for Config {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let cases = self.network.use_cases.join(", ");
+        writeln!(f, "{} listens on {}, discovery at {}", self.name, self.listen, self.discovery)?;
+        writeln!(
+            f,
+            "number {} of {}, {} descriptors",
+            self.settings.index, self.settings.fleet_size, self.sockets
+        )?;
+        write!(f, "use cases: {cases}; nodes known: {}", self.known.len())
+    }
+}
--- /dev/null
+++ b/crates/flintwell/src/decode.rs
@@ -0,0 +1,121 @@
+//! An access, decoded once from a client's message into a small typed value.
+
+use bytes::Bytes;
+use flintwell_core::interface::{AccessId, Arrival, Key, Micros};
+use flintwell_settings::Network;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::time::Duration;
+use tokio::time::timeout;
+
+pub const BODY_MOST: usize = 65_536; // bytes; the protocol's limit on a body
+const BODY_WITHIN: Duration = Duration::from_secs(10); // a client that takes longer to send its body is cut
+const MARGIN: Micros = 10_000; // us; the way back to the client, and the turn of our one core
+const LIMIT_MOST: f64 = 3_600.0; // s; a longer outer limit is no client's
+
+pub struct Access {
+    pub id: AccessId,
+    pub id_header: HeaderValue,
+    pub repeat_mark: Option<HeaderValue>,
+    pub host: Option<HeaderValue>,
+    pub method: Method,
+    pub path: Uri,
+    pub body: Bytes,
+    use_case: usize,
+    tenant: usize,
+    key: Option<Key>,
+    work: Option<Micros>,
+    /// How long the client waits from when it sent the access.
+    waits: Micros,
+}
+
+/// Why a message is no access.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Malformed {
+    Method,
+    Header(&'static str),
+    BodyTooLong,
+    BodyBroken,
+    BodyLate,
+}
+
+impl Access {
+    pub async fn decode(request: Request<Incoming>, network: &Network) -> Result<Self, Malformed> {
+        let (head, body) = request.into_parts();
+        let body = match timeout(BODY_WITHIN, Limited::new(body, BODY_MOST).collect()).await {
+            Err(_) => return Err(Malformed::BodyLate),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Malformed::BodyTooLong),
+            Ok(Err(_)) => return Err(Malformed::BodyBroken),
+            Ok(Ok(body)) => body.to_bytes(),
+        };
+        Self::from_parts(head.method, head.uri, &head.headers, body, network)
+    }
+
+    pub fn from_parts(
+        method: Method,
+        path: Uri,
+        headers: &HeaderMap,
+        body: Bytes,
+        network: &Network,
+    ) -> Result<Self, Malformed> {
+        if method != Method::GET && method != Method::PUT {
+            return Err(Malformed::Method);
+        }
+        let text = |name: &'static str| match headers.get(name) {
+            None => Ok(None),
+            Some(value) => value.to_str().map(|text| Some(text.trim())).map_err(|_| Malformed::Header(name)),
+        };
+        let need =
+            |name: &'static str| text(name)?.filter(|text| !text.is_empty()).ok_or(Malformed::Header(name));
+        let named = |name: &'static str, names: &[String]| match text(name)? {
+            None => Ok(None),
+            Some(word) => {
+                let found = names.iter().position(|n| n == word);
+                found.map(Some).ok_or(Malformed::Header(name))
+            }
+        };
+        let number = |name: &'static str| match text(name)? {
+            None => Ok(None),
+            Some(word) => {
+                let number = word.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+                number.map(Some).ok_or(Malformed::Header(name))
+            }
+        };
+        let waits = number("x-deadline")?.ok_or(Malformed::Header("x-deadline"))?.min(LIMIT_MOST);
+        let key = path.path().rsplit('/').next().filter(|key| !key.is_empty());
+        Ok(Access {
+            id: need("x-request-id")?.into(),
+            id_header: headers.get("x-request-id").cloned().ok_or(Malformed::Header("x-request-id"))?,
+            use_case: named("x-class", &network.use_cases)?.ok_or(Malformed::Header("x-class"))?,
+            tenant: named("x-tenant", &network.tenants)?.unwrap_or(0),
+            key: key.map(Key::from),
+            // A hint that is no number is worth none, and no reason to turn the access away.
+            work: number("x-cost-hint").ok().flatten().map(|hint| hint.min(LIMIT_MOST * 1e6) as Micros),
+            waits: (waits * 1e6) as Micros,
+            repeat_mark: headers.get("idempotency-key").cloned(),
+            host: headers.get(HOST).cloned(),
+            method,
+            path,
+            body,
+        })
+    }
+
+    /// When its answer is due, if its last byte was read at `now`.
+    pub fn outer_limit(&self, now: Micros) -> Micros {
+        now + (self.waits - MARGIN).max(0)
+    }
+
+    pub fn arrival(&self, outer_limit: Micros) -> Arrival {
+        Arrival {
+            id: self.id.clone(),
+            use_case: self.use_case,
+            tenant: self.tenant,
+            key: self.key.clone(),
+            outer_limit,
+            work: self.work,
+            write: self.method == Method::PUT,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintwell/src/desk.rs
@@ -0,0 +1,212 @@
+//! Where accesses meet the decision module: the module in its cell, the seats of the accesses in hand, and
+//! the host's calls, which only reach a seat and never re-enter the module.
+
+use crate::clock::Clock;
+use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::say;
+use flintwell_core::interface::{AccessId, Arrival, Ending, Host, Micros, NodeId, Outcome, Settings};
+use flintwell_core::policy::Policy;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout_at};
+
+/// What an access does next.
+pub enum Step {
+    HandOff { node: NodeId, allow_for: Micros },
+    TurnBack { stay_away: Micros },
+    BreakOff,
+}
+
+#[derive(Default)]
+struct Place {
+    next: RefCell<Option<Step>>,
+    called: Notify,
+}
+
+/// What the module's calls reach.
+struct Board {
+    places: RefCell<HashMap<AccessId, Rc<Place>>>,
+    timers: RefCell<BTreeSet<(Micros, u64)>>,
+    timer_set: Notify,
+    list_wanted: Rc<Notify>,
+    pool: Rc<Pool>,
+    peers: Option<Rc<Peers>>,
+}
+
+impl Board {
+    fn call(&self, access: &AccessId, step: Step) {
+        match self.places.borrow().get(access) {
+            Some(place) => {
+                place.next.replace(Some(step));
+                place.called.notify_one();
+            }
+            None => say!("a step for access {access}, which is not in hand"),
+        }
+    }
+}
+
+struct Reach(Rc<Board>);
+
+impl Host for Reach {
+    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros) {
+        self.0.call(access, Step::HandOff { node: node.clone(), allow_for });
+    }
+    fn turn_back(&mut self, access: &AccessId, stay_away: Micros) {
+        self.0.call(access, Step::TurnBack { stay_away });
+    }
+    fn break_off(&mut self, access: &AccessId) {
+        self.0.call(access, Step::BreakOff);
+    }
+    fn close_idle(&mut self, node: &NodeId) {
+        self.0.pool.close_idle(node);
+    }
+    fn wake_at(&mut self, label: u64, at: Micros) {
+        self.0.timers.borrow_mut().insert((at, label));
+        self.0.timer_set.notify_one();
+    }
+    fn watch_list(&mut self) {
+        self.0.list_wanted.notify_one();
+    }
+    fn tell(&mut self, peer: u32, body: &str) {
+        if let Some(peers) = &self.0.peers {
+            peers.tell(peer, body);
+        }
+    }
+}
+
+pub struct Desk {
+    pub clock: Clock,
+    module: RefCell<Policy<Reach>>,
+    board: Rc<Board>,
+}
+
+impl Desk {
+    pub fn new(
+        clock: Clock,
+        settings: Settings,
+        seed: u64,
+        list_wanted: Rc<Notify>,
+        pool: Rc<Pool>,
+        peers: Option<Rc<Peers>>,
+    ) -> Self {
+        let board = Rc::new(Board {
+            places: RefCell::default(),
+            timers: RefCell::default(),
+            timer_set: Notify::new(),
+            list_wanted,
+            pool,
+            peers,
+        });
+        let module = RefCell::new(Policy::start(clock.now(), settings, seed, Reach(board.clone())));
+        Desk { clock, module, board }
+    }
+
+    /// Calls the module; nothing is awaited in there.
+    fn module(&self, call: impl FnOnce(&mut Policy<Reach>, Micros)) {
+        let mut module = self.module.borrow_mut();
+        call(&mut module, self.clock.now());
+    }
+
+    pub fn list(&self, told: crate::discovery::Told) {
+        self.module(|module, now| module.list(now, told.kind, told.entries));
+    }
+
+    pub fn peer_message(&self, peer: u32, body: &str) {
+        self.module(|module, now| module.peer_message(now, peer, body));
+    }
+
+    /// A seat for an access; none while another of the same id is in hand.
+    pub fn seat(self: &Rc<Self>, id: AccessId) -> Option<Seat> {
+        let place = Rc::new(Place::default());
+        let mut places = self.board.places.borrow_mut();
+        if places.contains_key(&id) {
+            return None;
+        }
+        places.insert(id.clone(), place.clone());
+        Some(Seat { desk: self.clone(), id, place, hand_offs: 0, out: None, over: Cell::new(true) })
+    }
+
+    /// Calls the module at the times it asked for.
+    pub async fn keep_time(&self) {
+        let far = Duration::from_secs(3_600);
+        loop {
+            let first = self.board.timers.borrow().first().copied();
+            let at = first.map_or(tokio::time::Instant::now() + far, |(at, _)| self.clock.instant(at));
+            tokio::select! {
+                () = sleep_until(at) => {
+                    while let Some(label) = self.due() {
+                        self.module(|module, now| module.timer(now, label));
+                    }
+                }
+                () = self.board.timer_set.notified() => {}
+            }
+        }
+    }
+
+    fn due(&self) -> Option<u64> {
+        let mut timers = self.board.timers.borrow_mut();
+        let due = timers.first().is_some_and(|timer| timer.0 <= self.clock.now());
+        if due { timers.pop_first().map(|timer| timer.1) } else { None }
+    }
+}
+
+/// An access's place before the module. Dropped before the access is over, it tells the module that the
+/// client is gone and that the hand-off out, if any, was called off.
+pub struct Seat {
+    desk: Rc<Desk>,
+    id: AccessId,
+    place: Rc<Place>,
+    hand_offs: usize,
+    out: Option<NodeId>,
+    over: Cell<bool>,
+}
+
+impl Seat {
+    pub fn arrives(&self, arrival: Arrival) {
+        self.over.set(false);
+        self.desk.module(|module, now| module.access_arrives(now, arrival));
+    }
+
+    /// The module's next word; none by the outer limit.
+    pub async fn next(&self, outer_limit: Micros) -> Option<Step> {
+        let word = async {
+            loop {
+                if let Some(step) = self.place.next.take() {
+                    return step;
+                }
+                self.place.called.notified().await;
+            }
+        };
+        let step = timeout_at(self.desk.clock.instant(outer_limit), word).await.ok()?;
+        self.over.set(!matches!(step, Step::HandOff { .. }));
+        Some(step)
+    }
+
+    pub fn sends(&mut self, node: &NodeId) {
+        self.out = Some(node.clone());
+    }
+
+    /// How the hand-off that is out has ended, after `wait`.
+    pub fn ended(&mut self, ending: Ending, wait: Micros) {
+        let Some(node) = self.out.take() else { return };
+        let settled = self.over.get() || ending == Ending::Honoured;
+        self.over.set(settled);
+        let outcome = Outcome { number: self.hand_offs, ending, wait, settled };
+        self.hand_offs += 1;
+        self.desk.module(|module, now| module.outcome(now, &self.id, &node, outcome));
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if !self.over.replace(true) {
+            self.desk.module(|module, now| module.access_gone(now, &self.id));
+        }
+        self.ended(Ending::CalledOff, 0);
+        self.desk.board.places.borrow_mut().remove(&self.id);
+    }
+}
--- /dev/null
+++ b/crates/flintwell/src/discovery.rs
@@ -0,0 +1,203 @@
+//! Keeps the list of nodes: asks discovery, decodes what it tells, and passes it on.
+
+use crate::clock::span;
+use crate::desk::Desk;
+use crate::link::{Broken, Cause, Link, Progress};
+use crate::pool::Pool;
+use crate::say;
+use bytes::Bytes;
+use flintwell_core::interface::{Entry, ListKind, Micros, NodeId, Standing};
+use flintwell_settings::Network;
+use futures_util::FutureExt;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+
+const WATCH: Duration = Duration::from_secs(10); // a watch's wait; a silent discovery is noticed soon after
+const GRACE: Duration = Duration::from_secs(2); // beyond it, for the way and for discovery's other calls
+const LIST_MOST: usize = 4 << 20; // bytes; a list of ten thousand nodes
+const RETRY: Micros = 250_000; // us; first wait after a failed call, where the module does not set it
+const RETRY_DOUBLINGS: u32 = 4; // of that wait; 4 s at most, or changes are told late
+
+/// One entry as it stands on the wire.
+#[derive(Clone, Debug, Deserialize)]
+struct Line {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: u32,
+    #[serde(default)]
+    state: String,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A list, or the changes of one.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listing {
+    version: u64,
+    full: bool,
+    servers: Vec<Line>,
+}
+
+impl Listing {
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+}
+
+/// What the module is told.
+pub struct Told {
+    pub kind: ListKind,
+    pub entries: Vec<Entry>,
+}
+
+impl Line {
+    fn entry(&self, network: &Network) -> Entry {
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).map_or(u32::MAX, |place| place as u32)
+        };
+        Entry {
+            node: NodeId::from(&*self.id),
+            zone: place(&network.zones, &self.zone),
+            kind: place(&network.kinds, &self.kind),
+            cell: self.cell,
+            // A standing that is not known is no leave to send.
+            standing: match &*self.state {
+                "ready" => Standing::Ready,
+                "gone" => Standing::Gone,
+                _ => Standing::Draining,
+            },
+            size: self.weight,
+            started_at: (self.started_ms * 1e3) as Micros,
+        }
+    }
+}
+
+pub struct Discovery {
+    addr: SocketAddr,
+    network: Rc<Network>,
+    pool: Rc<Pool>,
+    /// The module asks for the list; else it is watched all the time.
+    wanted: Option<Rc<Notify>>,
+    rng: ChaCha8Rng,
+    version: u64,
+    link: Option<Link>,
+}
+
+impl Discovery {
+    pub fn new(
+        addr: SocketAddr,
+        network: Rc<Network>,
+        pool: Rc<Pool>,
+        wanted: Option<Rc<Notify>>,
+        seed: u64,
+    ) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Discovery { addr, network, pool, wanted, rng, version: 0, link: None }
+    }
+
+    /// The list as it was last had.
+    pub fn start(&mut self, known: &Listing, desk: &Desk) {
+        self.tell(known, ListKind::Kept, desk);
+    }
+
+    /// Watches for as long as calls go well; after a failure anew when the module asks, or after a wait.
+    pub async fn watch(mut self, desk: Rc<Desk>) {
+        let mut failures = 0;
+        loop {
+            if let Some(wanted) = &self.wanted {
+                wanted.notified().await;
+            }
+            // The next call comes at once, so that the watch goes on.
+            let broken = loop {
+                match self.call().await {
+                    Ok(listing) => {
+                        failures = 0;
+                        let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
+                        self.tell(&listing, kind, &desk);
+                    }
+                    Err(broken) => break broken,
+                }
+            };
+            say!("discovery: {broken}");
+            self.link = None;
+            // What was asked for during the call that failed is answered by its failure.
+            self.wanted.as_ref().map(|wanted| wanted.notified().now_or_never());
+            desk.list(Told { kind: ListKind::Failed, entries: Vec::new() });
+            if self.wanted.is_none() {
+                let wait = (RETRY << u32::min(failures, RETRY_DOUBLINGS)) as f64;
+                failures += 1;
+                sleep(span((wait * self.rng.random_range(0.5..1.5)) as Micros)).await;
+            }
+        }
+    }
+
+    fn tell(&mut self, listing: &Listing, kind: ListKind, desk: &Desk) {
+        self.version = listing.version;
+        if kind != ListKind::Changes {
+            self.pool.forget_missing(|node| listing.servers.iter().any(|line| *line.id == **node));
+        }
+        for line in &listing.servers {
+            let entry = line.entry(&self.network);
+            match entry.standing {
+                Standing::Gone => self.pool.forget(&entry.node),
+                standing => {
+                    let ready = standing == Standing::Ready;
+                    self.pool.place(&entry.node, line.addr, line.started_ms, ready);
+                }
+            }
+        }
+        let entries = listing.servers.iter().map(|line| line.entry(&self.network)).collect();
+        desk.list(Told { kind, entries });
+    }
+
+    async fn call(&mut self) -> Result<Listing, Broken> {
+        let progress = Progress::default();
+        let answered = timeout(WATCH + GRACE, self.exchange(&progress)).await;
+        let body = answered.unwrap_or(Err(Broken { stage: progress.stage(), cause: Cause::TimedOut }))?;
+        serde_json::from_slice(&body)
+            .map_err(|e| Broken { stage: progress.stage(), cause: Cause::Garbage(e.to_string()) })
+    }
+
+    async fn exchange(&mut self, progress: &Progress) -> Result<Bytes, Broken> {
+        let mut kept = self.link.take();
+        let open = match &mut kept {
+            Some(link) => link.ready().await,
+            None => false,
+        };
+        let mut link = match kept.filter(|_| open) {
+            Some(link) => link,
+            None => Link::dial(self.addr, None).await?,
+        };
+        let path = format!("/registry/instances?since={}&timeout_ms={}", self.version, WATCH.as_millis());
+        let mut request = Request::new(Full::new(Bytes::new()));
+        let garbage = |words: String| Broken { stage: progress.stage(), cause: Cause::Garbage(words) };
+        *request.uri_mut() = path.parse().map_err(|_| garbage(path))?;
+        request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
+        let reply = link.exchange(request, LIST_MOST, progress).await?;
+        if reply.status != StatusCode::OK {
+            return Err(garbage(format!("status {}", reply.status)));
+        }
+        self.link = Some(link);
+        Ok(reply.body)
+    }
+}
--- /dev/null
+++ b/crates/flintwell/src/handoff.rs
@@ -0,0 +1,106 @@
+//! One hand-off: an access sent to one node over one connection, and how it ended.
+
+use crate::clock::span;
+use crate::decode::{Access, BODY_MOST};
+use crate::link::{Broken, Cause, Link, Progress, Reply};
+use crate::pool::Pool;
+use bytes::Bytes;
+use flintwell_core::interface::{Ending, Micros, NodeId};
+use futures_util::future::LocalBoxFuture;
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::time::timeout;
+use tower::Service;
+
+pub struct HandOff {
+    pub access: Rc<Access>,
+    pub node: NodeId,
+    pub allow_for: Micros,
+}
+
+/// A node's whole answer.
+pub struct Answered {
+    pub ending: Ending,
+    pub body: Bytes,
+}
+
+#[derive(Clone)]
+pub struct HandOffs {
+    pool: Rc<Pool>,
+}
+
+impl HandOffs {
+    pub fn new(pool: Rc<Pool>) -> Self {
+        HandOffs { pool }
+    }
+}
+
+impl Service<HandOff> for HandOffs {
+    type Response = Answered;
+    type Error = Broken;
+    type Future = LocalBoxFuture<'static, Result<Answered, Broken>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Broken>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, hand_off: HandOff) -> Self::Future {
+        let pool = self.pool.clone();
+        Box::pin(async move {
+            let progress = Progress::default();
+            // Past its time the exchange is dropped, and its connection closed with it.
+            let done = timeout(span(hand_off.allow_for), send(&pool, &hand_off, &progress)).await;
+            done.unwrap_or_else(|_| Err(Broken { stage: progress.stage(), cause: Cause::TimedOut }))
+        })
+    }
+}
+
+async fn send(pool: &Pool, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
+    let mut link = open(pool, &hand_off.node).await?;
+    let reply = link.exchange(request(hand_off), BODY_MOST, progress).await?;
+    pool.give_back(&hand_off.node, link);
+    Ok(answered(reply))
+}
+
+/// An idle connection that still takes an exchange, or a new one.
+async fn open(pool: &Pool, node: &NodeId) -> Result<Link, Broken> {
+    while let Some(mut link) = pool.idle(node) {
+        if link.ready().await {
+            return Ok(link);
+        }
+    }
+    pool.dial(node).await
+}
+
+fn request(hand_off: &HandOff) -> Request<Full<Bytes>> {
+    let access = &hand_off.access;
+    let mut request = Request::new(Full::new(access.body.clone()));
+    *request.method_mut() = access.method.clone();
+    *request.uri_mut() = access.path.clone();
+    let headers = request.headers_mut();
+    headers.insert(HOST, access.host.clone().unwrap_or(HeaderValue::from_static("origin.svc")));
+    headers.insert("x-request-id", access.id_header.clone());
+    if let Some(mark) = &access.repeat_mark {
+        headers.insert("idempotency-key", mark.clone());
+    }
+    let wait = format!("{:.6}", hand_off.allow_for as f64 / 1e6);
+    if let Ok(wait) = HeaderValue::from_str(&wait) {
+        headers.insert("x-deadline", wait);
+    }
+    request
+}
+
+fn answered(reply: Reply) -> Answered {
+    let not_run = reply.headers.get("x-not-run").is_some_and(|value| value == "1");
+    let ending = match reply.status {
+        StatusCode::OK => Ending::Honoured,
+        StatusCode::NOT_FOUND => Ending::Miss,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
+        status if status.is_server_error() => Ending::Error,
+        _ => Ending::Unknown,
+    };
+    Answered { ending, body: reply.body }
+}
--- /dev/null
+++ b/crates/flintwell/src/link.rs
@@ -0,0 +1,199 @@
+//! One connection to a cache node, the origin or discovery: an exchange at a time, nothing sent again.
+
+use bytes::Bytes;
+use flintwell_core::interface::Ending;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{HeaderMap, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::AbortHandle;
+
+/// How far an exchange had come when it broke.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// No connection, or nothing of this exchange written to it: it never ran.
+    #[default]
+    Unwritten,
+    /// Written in part or whole; in doubt it may have run.
+    Written,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Cause {
+    TimedOut,
+    Closed(String),
+    Garbage(String),
+    /// The node was taken off the list, or began to drain, while its connection came up.
+    Unlisted,
+}
+
+/// An exchange that broke.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Broken {
+    pub stage: Stage,
+    pub cause: Cause,
+}
+
+impl Broken {
+    pub fn unwritten(cause: Cause) -> Self {
+        Broken { stage: Stage::Unwritten, cause }
+    }
+    pub fn ending(&self) -> Ending {
+        match (self.stage, &self.cause) {
+            (Stage::Unwritten, Cause::Unlisted) => Ending::NotSent,
+            (Stage::Unwritten, _) => Ending::ConnectFailed,
+            (_, Cause::TimedOut) => Ending::TimedOut,
+            (_, Cause::Garbage(_)) => Ending::Error,
+            (_, Cause::Closed(_) | Cause::Unlisted) => Ending::Reset,
+        }
+    }
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let stage = match self.stage {
+            Stage::Unwritten => "before anything was written",
+            Stage::Written => "after it was written",
+        };
+        match &self.cause {
+            Cause::TimedOut => write!(f, "timed out {stage}"),
+            Cause::Closed(why) => write!(f, "connection broke {stage}: {why}"),
+            Cause::Garbage(why) => write!(f, "not understood: {why}"),
+            Cause::Unlisted => write!(f, "no longer listed as ready"),
+        }
+    }
+}
+
+/// Counts what is written, so that an exchange is known never to have begun.
+struct Counted {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = done {
+            self.written.set(self.written.get() + bytes as u64);
+        }
+        done
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// An exchange's mark on its connection: how far it has come, told also once the exchange was dropped.
+#[derive(Default)]
+pub struct Progress(Cell<Option<(Rc<Cell<u64>>, u64)>>);
+
+impl Progress {
+    pub fn stage(&self) -> Stage {
+        let mark = self.0.take();
+        let begun = mark.as_ref().is_some_and(|(written, before)| written.get() > *before);
+        self.0.set(mark);
+        if begun { Stage::Written } else { Stage::Unwritten }
+    }
+}
+
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// An open connection; dropping it closes it.
+pub struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    written: Rc<Cell<u64>>,
+    driver: AbortHandle,
+    pub idle_since: Instant,
+}
+
+impl Link {
+    /// Opens a connection; `permit` is given back when its socket is closed.
+    pub async fn dial(addr: SocketAddr, permit: Option<OwnedSemaphorePermit>) -> Result<Self, Broken> {
+        let closed = |error: &dyn fmt::Display| Broken::unwritten(Cause::Closed(error.to_string()));
+        let stream = TcpStream::connect(addr).await.map_err(|e| closed(&e))?;
+        stream.set_nodelay(true).map_err(|e| closed(&e))?;
+        let written = Rc::new(Cell::new(0));
+        let counted = Counted { stream, written: written.clone() };
+        let (sender, connection) = http1::handshake(TokioIo::new(counted)).await.map_err(|e| closed(&e))?;
+        let driver = tokio::task::spawn_local(async move {
+            // How an exchange ended is told to the one who waits for it.
+            let _ = connection.await;
+            drop(permit);
+        });
+        Ok(Link { sender, written, driver: driver.abort_handle(), idle_since: Instant::now() })
+    }
+
+    /// Whether another exchange can go out on it.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    pub fn closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends and waits for the whole answer.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        body_most: usize,
+        progress: &Progress,
+    ) -> Result<Reply, Broken> {
+        progress.0.set(Some((self.written.clone(), self.written.get())));
+        let broken = |error: hyper::Error| {
+            let words = error.to_string();
+            let cause = if error.is_parse() { Cause::Garbage(words) } else { Cause::Closed(words) };
+            Broken { stage: progress.stage(), cause }
+        };
+        let (head, body) = self.sender.send_request(request).await.map_err(broken)?.into_parts();
+        let body =
+            read_whole(body, body_most).await.map_err(|cause| Broken { stage: Stage::Written, cause })?;
+        self.idle_since = Instant::now();
+        Ok(Reply { status: head.status, headers: head.headers, body })
+    }
+}
+
+async fn read_whole(body: Incoming, most: usize) -> Result<Bytes, Cause> {
+    match Limited::new(body, most).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(Cause::Garbage(format!("a body over {most} bytes")))
+        }
+        Err(error) => Err(Cause::Closed(error.to_string())),
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/flintwell/src/pool.rs
@@ -0,0 +1,126 @@
+//! Connections to nodes: who is where, what is open and idle, and room for more.
+
+use crate::clock::span;
+use crate::link::{Broken, Cause, Link};
+use flintwell_core::interface::{Micros, NodeId};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+const IDLE_SHARE: f64 = 0.85; // of the node's limit; ours close first, or an access would be written to a closed one
+const SWEEP: Duration = Duration::from_millis(500); // between looks at idle connections; a part of that margin
+
+struct Place {
+    addr: SocketAddr,
+    started_ms: f64,
+    ready: bool,
+    /// The one used last at the end.
+    idle: Vec<Link>,
+}
+
+pub struct Pool {
+    nodes: RefCell<HashMap<NodeId, Place>>,
+    room: Arc<Semaphore>,
+    dial_within: Duration,
+    idle_most: Duration,
+}
+
+impl Pool {
+    pub fn new(connections: usize, dial_within: Micros, idle_most: Micros) -> Rc<Self> {
+        Rc::new(Pool {
+            nodes: RefCell::default(),
+            room: Arc::new(Semaphore::new(connections)),
+            dial_within: span(dial_within),
+            idle_most: span(idle_most).mul_f64(IDLE_SHARE),
+        })
+    }
+
+    /// As the list has it. A node that moved or started anew has closed what we hold open.
+    pub fn place(&self, node: &NodeId, addr: SocketAddr, started_ms: f64, ready: bool) {
+        let mut nodes = self.nodes.borrow_mut();
+        let place = nodes.entry(node.clone()).or_insert(Place { addr, started_ms, ready, idle: Vec::new() });
+        if (place.addr, place.started_ms) != (addr, started_ms) {
+            place.idle.clear();
+        }
+        (place.addr, place.started_ms, place.ready) = (addr, started_ms, ready);
+    }
+
+    pub fn forget(&self, node: &NodeId) {
+        self.nodes.borrow_mut().remove(node);
+    }
+
+    /// After a whole list: what it lacks is gone.
+    pub fn forget_missing(&self, listed: impl Fn(&NodeId) -> bool) {
+        self.nodes.borrow_mut().retain(|node, _| listed(node));
+    }
+
+    pub fn close_idle(&self, node: &NodeId) {
+        if let Some(place) = self.nodes.borrow_mut().get_mut(node) {
+            place.idle.clear();
+        }
+    }
+
+    /// An open connection that was idle, the one used last first.
+    pub fn idle(&self, node: &NodeId) -> Option<Link> {
+        let mut nodes = self.nodes.borrow_mut();
+        let place = nodes.get_mut(node)?;
+        while let Some(link) = place.idle.pop() {
+            if !link.closed() && link.idle_since.elapsed() < self.idle_most {
+                return Some(link);
+            }
+        }
+        None
+    }
+
+    pub async fn dial(&self, node: &NodeId) -> Result<Link, Broken> {
+        let unlisted = || Broken::unwritten(Cause::Unlisted);
+        let Some(addr) = self.ready_addr(node) else { return Err(unlisted()) };
+        let dialled = timeout(self.dial_within, async {
+            if self.room.available_permits() == 0 {
+                self.close_oldest();
+            }
+            let permit = self.room.clone().acquire_owned().await.ok();
+            Link::dial(addr, permit).await
+        });
+        let link = dialled.await.unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))?;
+        // Danger: a node that began to drain while its connection came up would get an access past the grace.
+        if self.ready_addr(node) == Some(addr) { Ok(link) } else { Err(unlisted()) }
+    }
+
+    fn ready_addr(&self, node: &NodeId) -> Option<SocketAddr> {
+        self.nodes.borrow().get(node).filter(|place| place.ready).map(|place| place.addr)
+    }
+
+    /// Takes back a connection whose exchange is done.
+    pub fn give_back(&self, node: &NodeId, link: Link) {
+        if let Some(place) = self.nodes.borrow_mut().get_mut(node) {
+            place.idle.push(link);
+        }
+    }
+
+    /// Danger: idle connections to some nodes hold all the room there is.
+    fn close_oldest(&self) {
+        let mut nodes = self.nodes.borrow_mut();
+        let oldest = nodes.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].idle_since);
+        if let Some(place) = oldest {
+            place.idle.remove(0);
+        }
+    }
+
+    /// Closes what has been idle for too long, before the node does.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let now = Instant::now();
+            let fresh = |link: &Link| !link.closed() && now - link.idle_since < self.idle_most;
+            for place in self.nodes.borrow_mut().values_mut() {
+                place.idle.retain(fresh);
+            }
+        }
+    }
+}
