Idle clients make room at the limit; a stop closes them before the door; panics stop at the call

Seen in tests of the proxy as a process: with all client room held by idle connections, an access in the backlog waited until its client gave up (accept.rs: accept took a permit and nothing freed one). At a planned stop idle connections and the door closed at the same moment (shutdown.rs), so that an access crossing the closing found no door to come again to. hyper closes a fresh connection that it has not read when asked to end (checked in its dispatch), so a connection is now polled before it is closed. A panic in a timer's or list's call of the module would have ended that task for good; it now ends the call.

--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -3,6 +3,8 @@
 use flintwell_core::interface::{Effect, Group, Micros, Settings, UseCase};
 use serde_json::Value;
 
+const LONGEST: Micros = 3_000_000; // us; where no use case gives an outer limit
+
 pub fn micros(seconds: f64) -> Micros {
     (seconds * 1e6).round() as Micros
 }
@@ -86,6 +88,8 @@
     pub dial_within: Micros,
     /// A cache node closes a connection that has been idle for this long.
     pub idle_most: Micros,
+    /// The longest time in which a client waits for one answer.
+    pub longest: Micros,
 }
 
 pub fn decode_network(conf: &Value) -> Result<Network, String> {
@@ -107,5 +111,11 @@
         kinds: names("/flavors", ""),
         dial_within: need("/limits/dial_timeout")?,
         idle_most: need("/limits/keepalive")?,
+        longest: list(conf, "/use_cases")
+            .iter()
+            .filter_map(|case| number(case, "/outer_limit"))
+            .map(micros)
+            .max()
+            .unwrap_or(LONGEST),
     })
 }
--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -3,18 +3,21 @@
 use crate::front::Front;
 use crate::say;
 use bytes::Bytes;
-use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use std::any::Any;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 use tower::ServiceBuilder;
 use tower_http::catch_panic::CatchPanicLayer;
 
@@ -22,6 +25,70 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(60); // a connection with no access for this long is closed
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
 const PAUSE: Duration = Duration::from_millis(50); // after accept failed, so that it never spins
+const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
+
+/// Clients' connections, by how long they have stood idle.
+#[derive(Default)]
+struct Clients {
+    turn: Cell<u64>,
+    idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
+    one_idles: Notify,
+}
+
+/// Whether the connection is fresh, as its first access may be on the way, and its turn.
+type Place = (bool, u64);
+
+/// One client's connection.
+struct Client {
+    clients: Rc<Clients>,
+    /// Its place among the idle, while it is.
+    idle: Cell<Option<Place>>,
+    close: Rc<Notify>,
+}
+
+impl Clients {
+    fn enter(self: &Rc<Self>) -> Rc<Client> {
+        let client = Client { clients: self.clone(), idle: Cell::default(), close: Rc::default() };
+        client.idles(true);
+        Rc::new(client)
+    }
+
+    /// Room for one more. Danger: clients that keep idle connections would leave none for those whose
+    /// accesses wait in the backlog, and those would be lost.
+    async fn make_room(&self, room: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        let mut permit = std::pin::pin!(room.clone().acquire_owned());
+        loop {
+            if room.available_permits() == 0 {
+                let longest = self.idle.borrow_mut().pop_first();
+                longest.inspect(|(_, close)| close.notify_one());
+            }
+            tokio::select! {
+                biased;
+                permit = permit.as_mut() => return permit.ok(),
+                () = self.one_idles.notified() => {}
+            }
+        }
+    }
+}
+
+impl Client {
+    fn busy(&self) {
+        self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
+    }
+    fn idles(&self, fresh: bool) {
+        let place = (fresh, self.clients.turn.get());
+        self.clients.turn.set(place.1 + 1);
+        self.clients.idle.borrow_mut().insert(place, self.close.clone());
+        self.idle.set(Some(place));
+        self.clients.one_idles.notify_one();
+    }
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        self.busy();
+    }
+}
 
 pub fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
@@ -34,19 +101,19 @@
 /// Accepts until shutdown closes the door; then takes in what still stands before it.
 pub async fn accept(listener: TcpListener, room: Arc<Semaphore>, front: Front) {
     let shutdown = front.shutdown.clone();
+    let clients = Rc::new(Clients::default());
     loop {
         let next = async {
             // At the limit accept pauses; the rest waits in the backlog.
-            let permit = room.clone().acquire_owned().await;
+            let permit = clients.make_room(&room).await;
             (permit, listener.accept().await)
         };
         let (permit, accepted) = tokio::select! {
             next = next => next,
             () = shutdown.door_closed() => break,
         };
-        let Ok(permit) = permit else { return };
         match accepted {
-            Ok((stream, _)) => admit(stream, permit, front.clone()),
+            Ok((stream, _)) => admit(stream, permit, front.clone(), &clients),
             Err(error) => {
                 say!("accept: {error}");
                 tokio::time::sleep(PAUSE).await;
@@ -54,16 +121,29 @@
         }
     }
     // Danger: a connection that the machine has accepted for us may hold an access already.
-    while let (Ok(permit), Some(Ok((stream, _)))) =
-        (room.clone().try_acquire_owned(), listener.accept().now_or_never())
-    {
-        admit(stream, permit, front.clone());
+    while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
+        admit(stream, clients.make_room(&room).await, front.clone(), &clients);
     }
 }
 
-fn admit(stream: TcpStream, permit: OwnedSemaphorePermit, front: Front) {
-    let shutdown = front.shutdown.clone();
-    let stack = ServiceBuilder::new().layer(CatchPanicLayer::custom(panicked)).service(front);
+fn admit(stream: TcpStream, permit: Option<OwnedSemaphorePermit>, front: Front, clients: &Rc<Clients>) {
+    let idle_closed = front.shutdown.idle_closed();
+    let client = clients.enter();
+    let stack = ServiceBuilder::new()
+        .map_future({
+            let client = client.clone();
+            move |answer| {
+                client.busy();
+                let client = client.clone();
+                async move {
+                    let answer = answer.await;
+                    client.idles(false);
+                    answer
+                }
+            }
+        })
+        .layer(CatchPanicLayer::custom(panicked))
+        .service(front);
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(BUFFER);
     tokio::task::spawn_local(async move {
@@ -75,8 +155,11 @@
             std::pin::pin!(http.serve_connection(TokioIo::new(stream), TowerToHyperService::new(stack)));
         // Whether a client's connection ended well or badly, the access on it was told by its seat.
         tokio::select! {
+            // First, so that an access that has come is read before its connection counts as idle.
+            biased;
             _ = connection.as_mut() => return,
-            () = shutdown.door_closed() => connection.as_mut().graceful_shutdown(),
+            () = client.close.notified() => connection.as_mut().graceful_shutdown(),
+            () = idle_closed => connection.as_mut().graceful_shutdown(),
         }
         let _ = connection.await;
     });
--- a/crates/flintwell/src/decode.rs
+++ b/crates/flintwell/src/decode.rs
@@ -84,20 +84,20 @@
             }
         };
         let waits = number("x-deadline")?.ok_or(Malformed::Header("x-deadline"))?.min(LIMIT_MOST);
-        let key = path.path().rsplit('/').next().filter(|key| !key.is_empty());
+        let key = path.path().rsplit('/').next().filter(|key| !key.is_empty()).map(Key::from);
         Ok(Access {
             id: need("x-request-id")?.into(),
             id_header: headers.get("x-request-id").cloned().ok_or(Malformed::Header("x-request-id"))?,
             use_case: named("x-class", &network.use_cases)?.ok_or(Malformed::Header("x-class"))?,
             tenant: named("x-tenant", &network.tenants)?.unwrap_or(0),
-            key: key.map(Key::from),
+            key,
             // A hint that is no number is worth none, and no reason to turn the access away.
             work: number("x-cost-hint").ok().flatten().map(|hint| hint.min(LIMIT_MOST * 1e6) as Micros),
             waits: (waits * 1e6) as Micros,
             repeat_mark: headers.get("idempotency-key").cloned(),
             host: headers.get(HOST).cloned(),
             method,
-            path,
+            path: path.into_parts().path_and_query.map_or(Uri::default(), Uri::from),
             body,
         })
     }
--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -9,6 +9,7 @@
 use flintwell_core::policy::Policy;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -105,10 +106,15 @@
         Desk { clock, module, board }
     }
 
-    /// Calls the module; nothing is awaited in there.
-    fn module(&self, call: impl FnOnce(&mut Policy<Reach>, Micros)) {
+    /// Calls the module; nothing is awaited in there. False if it panicked. Danger: a panic in a call made
+    /// for the timer or the list would end those for good, and lose every access held.
+    fn module(&self, call: impl FnOnce(&mut Policy<Reach>, Micros)) -> bool {
         let mut module = self.module.borrow_mut();
-        call(&mut module, self.clock.now());
+        let done = catch_unwind(AssertUnwindSafe(|| call(&mut module, self.clock.now())));
+        if done.is_err() {
+            say!("a call of the module panicked");
+        }
+        done.is_ok()
     }
 
     pub fn list(&self, told: crate::discovery::Told) {
@@ -168,7 +174,14 @@
 impl Seat {
     pub fn arrives(&self, arrival: Arrival) {
         self.over.set(false);
-        self.desk.module(|module, now| module.access_arrives(now, arrival));
+        self.or_break_off(self.desk.module(|module, now| module.access_arrives(now, arrival)));
+    }
+
+    /// An access that the module could not decide on is broken off.
+    fn or_break_off(&self, decided: bool) {
+        if !decided {
+            self.desk.board.call(&self.id, Step::BreakOff);
+        }
     }
 
     /// The module's next word; none by the outer limit.
@@ -197,7 +210,7 @@
         self.over.set(settled);
         let outcome = Outcome { number: self.hand_offs, ending, wait, settled };
         self.hand_offs += 1;
-        self.desk.module(|module, now| module.outcome(now, &self.id, &node, outcome));
+        self.or_break_off(self.desk.module(|module, now| module.outcome(now, &self.id, &node, outcome)));
     }
 }
 
@@ -210,3 +223,22 @@
         self.desk.board.places.borrow_mut().remove(&self.id);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_panic_in_a_call_ends_neither_the_timer_nor_the_accesses() {
+        let conf = serde_json::json!({"use_cases": [{"goal_time": 1.0}]});
+        let settings = flintwell_settings::decode(&conf).expect("settings");
+        let pool = Pool::new(1, 1, 1);
+        let desk = Rc::new(Desk::new(Clock::start(), settings, 1, Rc::default(), pool, None));
+        let seat = desk.seat("a".into()).expect("a seat");
+        assert!(!desk.module(|_, _| panic!("as a test")));
+        seat.or_break_off(false);
+        assert!(matches!(seat.place.next.take(), Some(Step::BreakOff)));
+        assert!(desk.module(|module, now| module.timer(now, 0)));
+        assert!(desk.seat("a".into()).is_none(), "the id is in hand");
+    }
+}
--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -23,6 +23,7 @@
 
 const WATCH: Duration = Duration::from_secs(10); // a watch's wait; a silent discovery is noticed soon after
 const GRACE: Duration = Duration::from_secs(2); // beyond it, for the way and for discovery's other calls
+const DIAL: Duration = Duration::from_secs(1); // for a connection to come up; far above any way there
 const LIST_MOST: usize = 4 << 20; // bytes; a list of ten thousand nodes
 const RETRY: Micros = 250_000; // us; first wait after a failed call, where the module does not set it
 const RETRY_DOUBLINGS: u32 = 4; // of that wait; 4 s at most, or changes are told late
@@ -31,7 +32,7 @@
 #[derive(Clone, Debug, Deserialize)]
 struct Line {
     id: String,
-    addr: SocketAddr,
+    addr: String,
     #[serde(default)]
     zone: String,
     #[serde(default)]
@@ -156,17 +157,22 @@
         if kind != ListKind::Changes {
             self.pool.forget_missing(|node| listing.servers.iter().any(|line| *line.id == **node));
         }
-        for line in &listing.servers {
-            let entry = line.entry(&self.network);
-            match entry.standing {
-                Standing::Gone => self.pool.forget(&entry.node),
-                standing => {
-                    let ready = standing == Standing::Ready;
-                    self.pool.place(&entry.node, line.addr, line.started_ms, ready);
+        let mut entries: Vec<Entry> = listing.servers.iter().map(|line| line.entry(&self.network)).collect();
+        for (entry, line) in entries.iter_mut().zip(&listing.servers) {
+            // Danger: one address that is not understood would keep all else on the list from being told.
+            match line.addr.parse() {
+                Ok(addr) if entry.standing != Standing::Gone => {
+                    let ready = entry.standing == Standing::Ready;
+                    self.pool.place(&entry.node, addr, line.started_ms, ready);
+                }
+                Ok(_) => self.pool.forget(&entry.node),
+                Err(error) => {
+                    say!("discovery: address {} of {}: {error}", line.addr, line.id);
+                    entry.standing = Standing::Gone;
+                    self.pool.forget(&entry.node);
                 }
             }
         }
-        let entries = listing.servers.iter().map(|line| line.entry(&self.network)).collect();
         desk.list(Told { kind, entries });
     }
 
@@ -186,7 +192,9 @@
         };
         let mut link = match kept.filter(|_| open) {
             Some(link) => link,
-            None => Link::dial(self.addr, None).await?,
+            None => timeout(DIAL, Link::dial(self.addr, None))
+                .await
+                .unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))?,
         };
         let path = format!("/registry/instances?since={}&timeout_ms={}", self.version, WATCH.as_millis());
         let mut request = Request::new(Full::new(Bytes::new()));
--- a/crates/flintwell/src/peers.rs
+++ b/crates/flintwell/src/peers.rs
@@ -4,9 +4,11 @@
 use crate::say;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 
 const MESSAGE_MOST: usize = 256; // bytes; the protocol's limit
+const PAUSE: Duration = Duration::from_millis(10); // after a failed read, so that it never spins
 
 pub struct Peers {
     socket: UdpSocket,
@@ -41,8 +43,10 @@
                     }
                 }
                 Ok((_, from)) => say!("a message from {from} is too long"),
-                // An error tells of a message that did not arrive.
-                Err(_) => tokio::task::yield_now().await,
+                Err(error) => {
+                    say!("peer messages: {error}");
+                    tokio::time::sleep(PAUSE).await;
+                }
             }
         }
     }
--- a/crates/flintwell/src/pool.rs
+++ b/crates/flintwell/src/pool.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 
 const IDLE_SHARE: f64 = 0.85; // of the node's limit; ours close first, or an access would be written to a closed one
-const SWEEP: Duration = Duration::from_millis(500); // between looks at idle connections; a part of that margin
+const SWEEPS: u32 = 10; // looks at idle connections in that time, so that they come well within the margin
 
 struct Place {
     addr: SocketAddr,
@@ -115,7 +115,7 @@
     /// Closes what has been idle for too long, before the node does.
     pub async fn sweep(&self) {
         loop {
-            tokio::time::sleep(SWEEP).await;
+            tokio::time::sleep(self.idle_most / SWEEPS).await;
             let now = Instant::now();
             let fresh = |link: &Link| !link.closed() && now - link.idle_since < self.idle_most;
             for place in self.nodes.borrow_mut().values_mut() {
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -1,7 +1,7 @@
 //! Puts the parts together and runs them on one core.
 
 use crate::accept;
-use crate::clock::Clock;
+use crate::clock::{Clock, span};
 use crate::config::Config;
 use crate::desk::Desk;
 use crate::discovery::Discovery;
@@ -36,6 +36,7 @@
         None => None,
     };
     let network = Rc::new(config.network);
+    let longest = span(network.longest);
     let pool = Pool::new(connections, network.dial_within, network.idle_most);
     let list_wanted = Rc::new(Notify::new());
     let asked = config.settings.list_on_request.then(|| list_wanted.clone());
@@ -59,7 +60,9 @@
     let (stop, shutdown) = shutdown::new();
     let room = Arc::new(Semaphore::new(connections));
     let front = Front { desk, hand_offs: HandOffs::new(pool), network, shutdown };
-    say!("{} serves on {}", config.name, config.listen);
-    spawn_local(accept::accept(listener, room.clone(), front));
-    stop.on_signal(room, connections as u32).await.map_err(|e| format!("signals: {e}"))
+    let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
+    say!("{} serves on {at}", config.name);
+    let accepting = spawn_local(accept::accept(listener, room.clone(), front));
+    let stopped = stop.on_signal(accepting, room, connections as u32, longest).await;
+    stopped.map_err(|e| format!("signals: {e}"))
 }
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -1,21 +1,25 @@
-//! A planned stop, in two steps: first every answer closes its connection while clients still come, then the
-//! door closes and what is in hand is answered.
+//! A planned stop, in steps: every answer closes its connection while clients still come; idle connections are
+//! closed while what crosses that can come again on a new one; the door closes; what is in hand is answered.
 
 use crate::say;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-const DOOR: Duration = Duration::from_millis(600); // after the signal; clients come for some tenths of a second
-const REST: Duration = Duration::from_secs(10); // for what is in hand then; its outer limits end it sooner
+const CALM: Duration = Duration::from_millis(450); // after the signal; clients come for some tenths of a second
+const DOOR: Duration = Duration::from_millis(100); // more; the way of an access that comes again
+const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
     Serving,
     Begun,
+    IdleClosed,
     DoorClosed,
+    AllClosed,
 }
 
 #[derive(Clone)]
@@ -27,8 +31,18 @@
         *self.0.borrow() > Phase::Serving
     }
     pub async fn door_closed(&self) {
-        // An error means that the phases are over, and the door closed with them.
-        let _ = self.0.clone().wait_for(|phase| *phase == Phase::DoorClosed).await;
+        self.reached(Phase::DoorClosed).await;
+    }
+    /// When a connection accepted now is closed if idle. Danger: an access that crosses the closing, and
+    /// finds the door closed when it comes again, is lost.
+    pub fn idle_closed(&self) -> impl Future<Output = ()> + use<> {
+        let late = *self.0.borrow() >= Phase::IdleClosed;
+        let (shutdown, phase) = (self.clone(), if late { Phase::AllClosed } else { Phase::IdleClosed });
+        async move { shutdown.reached(phase).await }
+    }
+    async fn reached(&self, least: Phase) {
+        // An error means that the phases are over.
+        let _ = self.0.clone().wait_for(|phase| *phase >= least).await;
     }
 }
 
@@ -40,8 +54,15 @@
 }
 
 impl Stop {
-    /// Waits for the signal, then sees the stop through. `room` is what clients' connections hold a part of.
-    pub async fn on_signal(self, room: Arc<Semaphore>, connections: u32) -> std::io::Result<()> {
+    /// Waits for the signal, then sees the stop through: `accepting` ends once the door is closed, clients'
+    /// connections hold a part of `room`, and none has an access in hand for longer than `longest`.
+    pub async fn on_signal(
+        self,
+        accepting: JoinHandle<()>,
+        room: Arc<Semaphore>,
+        connections: u32,
+        longest: Duration,
+    ) -> std::io::Result<()> {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         tokio::select! {
             _ = term.recv() => {}
@@ -49,11 +70,17 @@
         }
         say!("stopping");
         self.0.send_replace(Phase::Begun);
-        sleep(DOOR).await;
-        self.0.send_replace(Phase::DoorClosed);
-        // Lets the door's last arrivals in before counting who is left.
-        sleep(Duration::from_millis(1)).await;
-        if timeout(REST, room.acquire_many(connections)).await.is_err() {
+        for (wait, phase) in [(CALM, Phase::IdleClosed), (DOOR, Phase::DoorClosed), (LATE, Phase::AllClosed)]
+        {
+            sleep(wait).await;
+            self.0.send_replace(phase);
+        }
+        let rest = async {
+            // Danger: counting who is left before the last are let in would leave those no room.
+            let _ = accepting.await;
+            let _ = room.acquire_many(connections).await;
+        };
+        if timeout(longest, rest).await.is_err() {
             say!("stopped with connections still open");
         }
         Ok(())
--- /dev/null
+++ b/crates/flintwell/tests/sockets.rs
@@ -0,0 +1,487 @@
+//! The proxy as a process on loopback, between clients, nodes and a discovery that do as each test says.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_flintwell");
+
+/// A message as it came or went: first line, headers, body.
+#[derive(Clone, Debug, Default)]
+struct Message {
+    first: String,
+    head: String,
+    body: String,
+}
+
+impl Message {
+    fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut message = Message::default();
+        from.read_line(&mut message.first).ok().filter(|bytes| *bytes > 0)?;
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
+            if line == "\r\n" {
+                break;
+            }
+            message.head += &line.to_lowercase();
+        }
+        let length = message.header("content-length").map_or(0, |length| length.parse().expect("a length"));
+        let mut body = vec![0; length];
+        from.read_exact(&mut body).ok()?;
+        message.body = String::from_utf8(body).expect("text");
+        Some(message)
+    }
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+    fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status")
+    }
+}
+
+/// What a server does with a message.
+enum Does {
+    Answers(u16, &'static str),
+    /// Answers and closes without a word about it.
+    AnswersAndCloses(&'static str),
+    Says(&'static str),
+    Closes,
+    /// Nothing until the other side closes.
+    Hangs,
+    Waits(Duration, &'static str),
+}
+
+struct Server {
+    addr: SocketAddr,
+    heard: Arc<Mutex<Vec<Message>>>,
+    /// Connections that have ended.
+    ended: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// `act` is given the message and its number.
+    fn start(act: impl Fn(&Message, usize) -> Does + Send + Sync + 'static) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (addr, heard) = (listener.local_addr().expect("an address"), Arc::default());
+        let (act, noted): (_, Arc<Mutex<Vec<Message>>>) = (Arc::new(act), Arc::clone(&heard));
+        let ended = Arc::<AtomicUsize>::default();
+        let counted = ended.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (act, noted, counted) = (act.clone(), noted.clone(), counted.clone());
+                thread::spawn(move || {
+                    converse(stream, &*act, &noted);
+                    counted.fetch_add(1, Ordering::Relaxed);
+                });
+            }
+        });
+        Server { addr, heard, ended }
+    }
+    fn ended(&self) -> usize {
+        self.ended.load(Ordering::Relaxed)
+    }
+    fn heard(&self) -> Vec<Message> {
+        self.heard.lock().expect("no panic").clone()
+    }
+}
+
+fn converse(stream: TcpStream, act: &dyn Fn(&Message, usize) -> Does, noted: &Mutex<Vec<Message>>) {
+    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+    let say = |words: String| (&stream).write_all(words.as_bytes());
+    let full = |status: u16, body: &str| {
+        let not_run = if status == 503 { "X-Not-Run: 1\r\n" } else { "" };
+        format!("HTTP/1.1 {status} -\r\n{not_run}Content-Length: {}\r\n\r\n{body}", body.len())
+    };
+    while let Some(message) = Message::read(&mut reader) {
+        let number = {
+            let mut noted = noted.lock().expect("no panic");
+            noted.push(message.clone());
+            noted.len() - 1
+        };
+        let said = match act(&message, number) {
+            Does::Answers(status, body) => say(full(status, body)),
+            Does::AnswersAndCloses(body) => return drop(say(full(200, body))),
+            Does::Says(words) => say(words.to_owned()),
+            Does::Closes => return,
+            Does::Hangs => return drop(reader.read(&mut [0])),
+            Does::Waits(time, body) => {
+                thread::sleep(time);
+                say(full(200, body))
+            }
+        };
+        if said.is_err() {
+            return;
+        }
+    }
+}
+
+fn entry(id: &str, addr: SocketAddr, kind: &str, state: &str) -> Value {
+    json!({"id": id, "addr": addr.to_string(), "zone": "z", "kind": kind, "cell": 0, "state": state,
+        "weight": 1.0, "started_ms": 0})
+}
+
+fn case(name: &str, effect: &str) -> Value {
+    json!({"name": name, "effect": effect, "group": "all", "key_ttl": 3.0, "goal_time": 0.6,
+        "overdue_earnings": 0.0, "outer_limit": 1.0})
+}
+
+/// A configuration with one cache and the origin, and a discovery that never has anything new.
+fn config(cache: SocketAddr, origin: SocketAddr) -> Value {
+    let quiet = Server::start(|_, _| Does::Hangs);
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": quiet.addr.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"version": 1, "full": true,
+            "servers": [entry("c", cache, "cache", "ready"), entry("o", origin, "origin", "ready")]},
+        "settings": {"index": 0, "fleet_size": 1, "locality": 0, "discovery": "on_request", "zones": ["z"],
+            "flavors": ["cache", "origin"], "specifics": {"mode": "aside", "origin_kind": 1},
+            "limits": {"max_hand_offs": 4, "dial_timeout": 0.25, "keepalive": 10.0, "retry_after": true,
+                "max_retry_after": 1.5},
+            "guarantees": {"ask_within": 10.0, "start_capacity": 0.2, "ramp_time": 5.0, "fall": 2.0},
+            "use_cases": [case("read", "safe"), case("write", "keyed"), case("once", "unsafe")]}})
+}
+
+struct Proxy {
+    child: Child,
+    addr: SocketAddr,
+}
+
+/// Runs the program on a configuration of this text.
+fn run(command: &[&str], config: &str) -> (Child, std::path::PathBuf) {
+    static RUNS: AtomicUsize = AtomicUsize::new(0);
+    let number = RUNS.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("flintwell-test-{}-{number}.json", std::process::id()));
+    std::fs::write(&path, config).expect("a file");
+    let mut program = Command::new(PROGRAM);
+    program.args(command).arg(&path).stdout(Stdio::null()).stderr(Stdio::piped());
+    (program.spawn().expect("the program"), path)
+}
+
+impl Proxy {
+    fn start(config: &Value) -> Proxy {
+        let (mut child, path) = run(&["serve", "--config"], &config.to_string());
+        let mut log = BufReader::new(child.stderr.take().expect("its log"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let addr = line.trim().rsplit(' ').next().and_then(|addr| addr.parse().ok()).expect("its address");
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        std::fs::remove_file(path).expect("the file");
+        Proxy { child, addr }
+    }
+    fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.addr).expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a limit");
+        Client(BufReader::new(stream))
+    }
+    fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success());
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    fn send(&mut self, words: &str) {
+        self.0.get_mut().write_all(words.as_bytes()).expect("to write");
+    }
+    fn read(&mut self) -> Option<Message> {
+        Message::read(&mut self.0)
+    }
+    /// An access of this use case; the id is its key too.
+    fn begin(&mut self, case: &str, id: &str) {
+        let (method, body) = if case == "read" { ("GET", "") } else { ("PUT", "v") };
+        self.send(&format!(
+            "{method} /api/{id}?q=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: {case}\r\n\
+             X-Deadline: 1.0\r\nIdempotency-Key: m-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ));
+    }
+    fn ask(&mut self, case: &str, id: &str) -> Message {
+        self.begin(case, id);
+        self.read().expect("an answer")
+    }
+}
+
+/// Waits until it holds, for some seconds.
+fn soon(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(5), "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn misses() -> Server {
+    Server::start(|_, _| Does::Answers(404, ""))
+}
+
+/// An address at which nothing listens.
+fn closed() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
+}
+
+#[test]
+fn a_miss_is_fetched_and_everything_goes_on_unchanged() {
+    let (cache, origin) = (misses(), Server::start(|_, _| Does::Answers(200, "value")));
+    let proxy = Proxy::start(&config(cache.addr, origin.addr));
+    let mut client = proxy.client();
+    let read = client.ask("read", "k1");
+    assert_eq!((read.status(), &*read.body), (200, "value"));
+    assert_eq!(cache.heard()[0].first, "GET /api/k1?q=1 HTTP/1.1\r\n");
+    assert_eq!(client.ask("write", "k2").status(), 200);
+    let write = origin.heard()[1].clone();
+    assert_eq!((&*write.first, &*write.body), ("PUT /api/k2?q=1 HTTP/1.1\r\n", "v"));
+    assert_eq!((write.header("x-request-id"), write.header("idempotency-key")), (Some("k2"), Some("m-k2")));
+    let waits: f64 = write.header("x-deadline").and_then(|wait| wait.parse().ok()).expect("a wait");
+    assert!(waits > 0.3 && waits <= 0.6, "{waits}");
+}
+
+#[test]
+fn what_may_have_run_once_is_neither_sent_again_nor_turned_back() {
+    for does in [
+        || Does::Closes,
+        || Does::Says("nonsense\r\n\r\n"),
+        || Does::Answers(500, ""),
+        || Does::Says("HTTP/1.1 200 -\r\nContent-Length: 9\r\n\r\n1"),
+    ] {
+        let origin = Server::start(move |_, _| does());
+        let proxy = Proxy::start(&config(misses().addr, origin.addr));
+        assert_eq!(proxy.client().ask("once", "k").status(), 502);
+        assert_eq!(origin.heard().len(), 1);
+    }
+}
+
+#[test]
+fn what_never_ran_is_turned_back() {
+    let full = Server::start(|_, _| Does::Answers(503, ""));
+    for origin in [closed(), full.addr] {
+        let proxy = Proxy::start(&config(misses().addr, origin));
+        let answer = proxy.client().ask("once", "k");
+        assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.500")));
+    }
+}
+
+#[test]
+fn a_connection_closed_while_idle_costs_no_access() {
+    let origin = Server::start(|_, _| Does::AnswersAndCloses("value"));
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let mut client = proxy.client();
+    for id in ["k1", "k2", "k3"] {
+        assert_eq!(client.ask("once", id).status(), 200);
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(origin.heard().len(), 3);
+}
+
+#[test]
+fn our_idle_connections_close_before_the_nodes_limit() {
+    let origin = Server::start(|_, _| Does::Answers(200, "value"));
+    let mut config = config(misses().addr, origin.addr);
+    config["settings"]["limits"]["keepalive"] = json!(1.5);
+    let proxy = Proxy::start(&config);
+    let mut client = proxy.client();
+    assert_eq!(client.ask("once", "k").status(), 200);
+    assert_eq!(client.ask("once", "k2").status(), 200);
+    assert_eq!(origin.ended(), 0, "both on one connection, kept");
+    thread::sleep(Duration::from_millis(1_450));
+    assert_eq!(origin.ended(), 1);
+}
+
+#[test]
+fn a_silent_node_is_left_in_time_and_its_connection_closed() {
+    let origin = Server::start(move |_, _| Does::Hangs);
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let start = Instant::now();
+    assert_eq!(proxy.client().ask("once", "k").status(), 502);
+    assert!(start.elapsed() < Duration::from_millis(900), "before the outer limit");
+    soon("closed", || origin.ended() == 1);
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_hand_off_along() {
+    let origin = Server::start(move |_, number| match number {
+        0 => Does::Hangs,
+        _ => Does::Answers(200, "value"),
+    });
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let mut leaver = proxy.client();
+    leaver.begin("write", "k");
+    soon("sent", || origin.heard().len() == 1);
+    let start = Instant::now();
+    drop(leaver);
+    soon("closed", || origin.ended() == 1);
+    assert!(start.elapsed() < Duration::from_millis(400), "at once, not by the time-out");
+    assert_eq!(proxy.client().ask("write", "k").status(), 200, "its id is free again");
+}
+
+#[test]
+fn an_id_in_hand_is_not_taken_twice() {
+    let origin = Server::start(|_, _| Does::Waits(Duration::from_millis(200), "value"));
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let mut first = proxy.client();
+    first.begin("write", "k");
+    soon("sent", || origin.heard().len() == 1);
+    assert_eq!(proxy.client().ask("write", "k").status(), 409);
+    assert_eq!(first.read().expect("an answer").status(), 200);
+    assert_eq!(origin.heard().len(), 1);
+}
+
+#[test]
+fn a_malformed_access_gets_a_4xx_and_reaches_no_node() {
+    let (cache, origin) = (misses(), Server::start(|_, _| Does::Answers(200, "value")));
+    let proxy = Proxy::start(&config(cache.addr, origin.addr));
+    let good = "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: 1.0\r\n";
+    let huge = format!("{good}Content-Length: 70000\r\n\r\n{}", "x".repeat(70_000));
+    for (method, rest, status) in [
+        ("GET", "X-Class: read\r\nX-Deadline: 1.0\r\n\r\n", 400),
+        ("GET", "X-Request-Id: i\r\nX-Class: no\r\nX-Deadline: 1.0\r\n\r\n", 400),
+        ("GET", "X-Request-Id: i\r\nX-Class: read\r\n\r\n", 400),
+        ("GET", "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: NaN\r\n\r\n", 400),
+        ("GET", "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: -1\r\n\r\n", 400),
+        ("DELETE", &format!("{good}\r\n"), 405),
+        ("PUT", &huge, 413),
+        ("G\u{1}T", "\r\n", 400),
+    ] {
+        let mut client = proxy.client();
+        // Past the limit the rest of a body is not read.
+        let _ =
+            client.0.get_mut().write_all(format!("{method} /api/k HTTP/1.1\r\nHost: h\r\n{rest}").as_bytes());
+        assert_eq!(client.read().expect("an answer").status(), status, "{method} {rest:.60}");
+    }
+    assert!(cache.heard().is_empty() && origin.heard().is_empty());
+    assert_eq!(proxy.client().ask("read", "k").status(), 200);
+}
+
+#[test]
+fn garbage_from_peers_harms_nothing() {
+    let place = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port");
+    let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
+    let peer = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    config["peer_listen"] = json!(place.to_string());
+    config["peers"] = json!([place.to_string(), peer.local_addr().expect("an address").to_string()]);
+    let proxy = Proxy::start(&config);
+    for garbage in [&[0xff; 300][..], &[0xff; 3], b"a nan", b"a 1e999", b"", b"a -5"] {
+        peer.send_to(garbage, place).expect("to send");
+    }
+    assert_eq!(proxy.client().ask("read", "k").status(), 200);
+}
+
+#[test]
+fn a_node_that_drains_by_the_list_gets_nothing_new_whatever_else_the_list_says() {
+    let (cache, origin) = (
+        Server::start(|_, _| Does::Answers(200, "kept")),
+        Server::start(|_, _| Does::Answers(200, "fetched")),
+    );
+    let bad = r#"{"id":"x","addr":"nowhere","state":"ready"}"#;
+    let drains = entry("c", cache.addr, "cache", "draining");
+    let change: &'static str = format!(r#"{{"version":2,"full":false,"servers":[{bad},{drains}]}}"#).leak();
+    let discovery = Server::start(move |_, number| match number {
+        0 => Does::Answers(200, "no list"),
+        1 => Does::Closes,
+        2 => Does::Answers(200, change),
+        _ => Does::Hangs,
+    });
+    let mut config = config(cache.addr, origin.addr);
+    config["discovery"] = json!(discovery.addr.to_string());
+    config["settings"]["discovery"] = json!("pushed");
+    let proxy = Proxy::start(&config);
+    soon("the watch goes on", || discovery.heard().len() == 4);
+    assert!(discovery.heard()[3].first.contains("since=2&"), "from the version told last");
+    assert_eq!(proxy.client().ask("read", "k").body, "fetched");
+    assert!(cache.heard().is_empty());
+}
+
+#[test]
+fn a_planned_stop_answers_all_it_took_and_all_that_come_meanwhile() {
+    let origin = Server::start(|_, _| Does::Waits(Duration::from_millis(300), "value"));
+    let mut proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let (mut taken, mut open) = (proxy.client(), proxy.client());
+    taken.begin("write", "k1");
+    soon("sent", || origin.heard().len() == 1);
+    proxy.terminate();
+    thread::sleep(Duration::from_millis(150));
+    let mut fresh = proxy.client();
+    open.begin("write", "k2");
+    fresh.begin("write", "k3");
+    for client in [&mut taken, &mut open, &mut fresh] {
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    let start = Instant::now();
+    assert!(proxy.child.wait().expect("its end").success());
+    assert!(start.elapsed() < Duration::from_millis(1_500));
+}
+
+#[test]
+fn clients_idle_connections_leave_room_for_others_at_the_limit() {
+    let origin = Server::start(|_, _| Does::Waits(Duration::from_millis(100), "value"));
+    let mut config = config(misses().addr, origin.addr);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    // Far more than there is room for, idle; then as many at once, each answered in its turn.
+    let idle = (0..40).map(|_| {
+        let mut client = proxy.client();
+        client.send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        client
+    });
+    let idle: Vec<Client> = idle.collect();
+    let start = Instant::now();
+    let begin = |n| {
+        let mut client = proxy.client();
+        client.begin("write", &format!("k{n}"));
+        client
+    };
+    let busy: Vec<Client> = (0..24).map(begin).collect();
+    for (n, mut client) in busy.into_iter().enumerate() {
+        // As clients do where a connection's end crosses an access.
+        let answer = client.read().or_else(|| begin(n).read()).expect("an answer");
+        assert!([200, 503].contains(&answer.status()));
+    }
+    assert!(start.elapsed() < Duration::from_secs(2));
+    drop(idle);
+}
+
+#[test]
+fn a_bad_configuration_is_one_clear_line_and_a_failure() {
+    let nowhere = closed();
+    let good = config(nowhere, nowhere);
+    let without = |path: &[&str]| {
+        let mut bad = good.clone();
+        let (last, way) = path.split_last().expect("a path");
+        let place = way.iter().fold(&mut bad, |place, name| &mut place[*name]);
+        place.as_object_mut().expect("an object").remove(*last);
+        bad.to_string()
+    };
+    for (bad, names) in [
+        ("{".to_owned(), "EOF"),
+        (without(&["listen"]), "listen"),
+        (without(&["settings", "use_cases"]), "use_cases"),
+        (without(&["settings", "limits", "dial_timeout"]), "limits.dial_timeout"),
+        (good.to_string().replace("8c1f30d27a5be964", "seed?"), "seed"),
+    ] {
+        for command in [&["check"][..], &["serve", "--config"]] {
+            let (child, path) = run(command, &bad);
+            let done = child.wait_with_output().expect("its end");
+            std::fs::remove_file(path).expect("the file");
+            let said = String::from_utf8_lossy(&done.stderr);
+            assert!(!done.status.success() && said.lines().count() == 1 && said.contains(names), "{said}");
+        }
+    }
+    let (mut child, path) = run(&["check"], &good.to_string());
+    assert!(child.wait().expect("its end").success());
+    std::fs::remove_file(path).expect("the file");
+}
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -91,7 +91,8 @@
                 world.origin.insert(path.clone(), sent.clone());
                 world.caches.iter_mut().for_each(|cache| drop(cache.remove(&path)));
             }
-            let value = world.origin.get(&path).cloned().unwrap_or_else(|| format!("first value of {path}\n").into());
+            let value =
+                world.origin.get(&path).cloned().unwrap_or_else(|| format!("first value of {path}\n").into());
             for n in world.missed.remove(&id).unwrap_or_default() {
                 world.caches[n].insert(path.clone(), value.clone());
             }
