--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -23,6 +23,7 @@
 
 const BACKLOG: u32 = 1_024; // connections; those waiting while accept pauses at the limit
 const HEAD_WITHIN: Duration = Duration::from_secs(60); // a connection with no access for this long is closed
+const HEAD_ENDS: Duration = Duration::from_secs(1); // for a head that had begun to come when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
 const PAUSE: Duration = Duration::from_millis(50); // after accept failed, so that it never spins
 const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
@@ -161,7 +162,11 @@
             () = client.close.notified() => connection.as_mut().graceful_shutdown(),
             () = idle_closed => connection.as_mut().graceful_shutdown(),
         }
-        let _ = connection.await;
+        // Danger: a client that began an access and never ends its head would keep its place.
+        let ended = timeout(HEAD_ENDS, connection.as_mut()).await.is_ok();
+        if !ended && client.idle.get().is_none() {
+            let _ = connection.await;
+        }
     });
 }
 
--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -11,10 +11,12 @@
 use std::collections::{BTreeSet, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout_at};
 
+const STEP: Micros = 1_000; // us; between calls for the timer, as fine as the runtime's own
+const FAR: Micros = 3_600_000_000; // us; a sleep without a timer, ended by the next one set
+
 /// What an access does next.
 pub enum Step {
     HandOff { node: NodeId, allow_for: Micros },
@@ -136,26 +138,28 @@
         Some(Seat { desk: self.clone(), id, place, hand_offs: 0, out: None, over: Cell::new(true) })
     }
 
-    /// Calls the module at the times it asked for.
+    /// Calls the module at the times it asked for. Danger: a time that has passed, asked for again at each
+    /// call, would leave our one core nothing for the accesses; so there is a step between calls.
     pub async fn keep_time(&self) {
-        let far = Duration::from_secs(3_600);
+        let mut not_before = 0;
         loop {
-            let first = self.board.timers.borrow().first().copied();
-            let at = first.map_or(tokio::time::Instant::now() + far, |(at, _)| self.clock.instant(at));
+            let first = self.board.timers.borrow().first().map_or(self.clock.now() + FAR, |timer| timer.0);
             tokio::select! {
-                () = sleep_until(at) => {
-                    while let Some(label) = self.due() {
+                () = sleep_until(self.clock.instant(first.max(not_before))) => {
+                    let now = self.clock.now();
+                    while let Some(label) = self.due(now) {
                         self.module(|module, now| module.timer(now, label));
                     }
+                    not_before = now + STEP;
                 }
                 () = self.board.timer_set.notified() => {}
             }
         }
     }
 
-    fn due(&self) -> Option<u64> {
+    fn due(&self, now: Micros) -> Option<u64> {
         let mut timers = self.board.timers.borrow_mut();
-        let due = timers.first().is_some_and(|timer| timer.0 <= self.clock.now());
+        let due = timers.first().is_some_and(|timer| timer.0 <= now);
         if due { timers.pop_first().map(|timer| timer.1) } else { None }
     }
 }
--- a/crates/flintwell/src/log.rs
+++ b/crates/flintwell/src/log.rs
@@ -1,6 +1,8 @@
 //! One macro for every log line, rate-limited: a fault that repeats must not become a flood.
 
 use std::cell::Cell;
+use std::fmt::Arguments;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::{Duration, Instant};
 
 const LINES: u32 = 20; // lines a window; enough to see what goes on
@@ -17,7 +19,7 @@
         let now = Instant::now();
         if start.is_none_or(|start| now - start >= WINDOW) {
             if lines > LINES {
-                eprintln!("flintwell: {} lines left out", lines - LINES);
+                line(format_args!("{} lines left out", lines - LINES));
             }
             written.set((Some(now), 1));
             return true;
@@ -27,11 +29,16 @@
     })
 }
 
+/// Danger: eprintln panics once nobody reads our log any more, and would take the task that logs along.
+pub fn line(words: Arguments) {
+    let _ = catch_unwind(AssertUnwindSafe(|| eprintln!("flintwell: {words}")));
+}
+
 #[macro_export]
 macro_rules! say {
     ($($words:tt)*) => {
         if $crate::log::allowed() {
-            eprintln!("flintwell: {}", format_args!($($words)*));
+            $crate::log::line(format_args!($($words)*));
         }
     };
 }
