After a stall of the proxy, what came meanwhile is answered in time, not timed out

Seen in two tests that stop the process for 0.7 s (both failed before): an access sent meanwhile was answered 0.3 s past its client's limit, as decode.rs counted X-Deadline from when it was read; an answer that had come was taken for a time-out, as the timer is polled before the connection's task (handoff.rs). A beat of 10 ms now tells from when something may have waited; a hand-off whose time is up first gives the connection its turn.

--- a/crates/flintwell/src/access.rs
+++ b/crates/flintwell/src/access.rs
@@ -11,7 +11,7 @@
 pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &mut HandOffs) -> Answer {
     let access = Rc::new(access);
     let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
-    let outer_limit = access.outer_limit(desk.clock.now());
+    let outer_limit = access.outer_limit(desk.pulse.waited_from());
     seat.arrives(access.arrival(outer_limit));
     loop {
         match seat.next(outer_limit).await {
--- a/crates/flintwell/src/clock.rs
+++ b/crates/flintwell/src/clock.rs
@@ -1,8 +1,12 @@
 //! The one clock: the wall clock read once at start, carried on by the monotonic one.
 
 use flintwell_core::interface::Micros;
+use std::cell::Cell;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+const BEAT: Micros = 10_000; // us; fine beside outer limits, and nothing beside an access's work
+const STALL: Micros = 40_000; // us since the beat before last; twice what it is while all goes well
+
 #[derive(Clone, Copy)]
 pub struct Clock {
     started: Instant,
@@ -23,6 +27,32 @@
     }
 }
 
+/// Beats while our core gets its turns.
+pub struct Pulse {
+    clock: Clock,
+    last: Cell<Micros>,
+    before: Cell<Micros>,
+}
+
+impl Pulse {
+    pub fn new(clock: Clock) -> Self {
+        let now = clock.now();
+        Pulse { clock, last: Cell::new(now), before: Cell::new(now) }
+    }
+    pub async fn beat(&self) {
+        loop {
+            tokio::time::sleep(span(BEAT)).await;
+            self.before.set(self.last.replace(self.clock.now()));
+        }
+    }
+    /// From when on something may have waited for us that is read now. Danger: what comes while the process
+    /// stands still looks new when it is read, and would be answered past its outer limit.
+    pub fn waited_from(&self) -> Micros {
+        let (now, before) = (self.clock.now(), self.before.get());
+        if now - before > STALL { before } else { now }
+    }
+}
+
 pub fn span(time: Micros) -> Duration {
     Duration::from_micros(time.max(0) as u64)
 }
--- a/crates/flintwell/src/decode.rs
+++ b/crates/flintwell/src/decode.rs
@@ -102,9 +102,9 @@
         })
     }
 
-    /// When its answer is due, if its last byte was read at `now`.
-    pub fn outer_limit(&self, now: Micros) -> Micros {
-        now + (self.waits - MARGIN).max(0)
+    /// When its answer is due, if its client may have sent it at `sent`.
+    pub fn outer_limit(&self, sent: Micros) -> Micros {
+        sent + (self.waits - MARGIN).max(0)
     }
 
     pub fn arrival(&self, outer_limit: Micros) -> Arrival {
--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -1,7 +1,7 @@
 //! Where accesses meet the decision module: the module in its cell, the seats of the accesses in hand, and
 //! the host's calls, which only reach a seat and never re-enter the module.
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Pulse};
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::say;
@@ -83,6 +83,7 @@
 
 pub struct Desk {
     pub clock: Clock,
+    pub pulse: Pulse,
     module: RefCell<Policy<Reach>>,
     board: Rc<Board>,
 }
@@ -105,7 +106,7 @@
             peers,
         });
         let module = RefCell::new(Policy::start(clock.now(), settings, seed, Reach(board.clone())));
-        Desk { clock, module, board }
+        Desk { clock, pulse: Pulse::new(clock), module, board }
     }
 
     /// Calls the module; nothing is awaited in there. False if it panicked. Danger: a panic in a call made
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -6,15 +6,19 @@
 use crate::pool::Pool;
 use bytes::Bytes;
 use flintwell_core::interface::{Ending, Micros, NodeId};
+use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::time::timeout;
 use tower::Service;
 
+const TURNS: usize = 3; // of the runtime: the socket's readiness, the connection's read, the answer's way to us
+
 pub struct HandOff {
     pub access: Rc<Access>,
     pub node: NodeId,
@@ -51,9 +55,18 @@
         let pool = self.pool.clone();
         Box::pin(async move {
             let progress = Progress::default();
+            let mut exchange = pin!(send(&pool, &hand_off, &progress));
+            if let Ok(ended) = timeout(span(hand_off.allow_for), exchange.as_mut()).await {
+                return ended;
+            }
+            // Danger: after a stall of ours the time is up before the answer that has come is read. So the
+            // connection gets a turn, and its reader one.
+            for _ in 0..TURNS {
+                tokio::task::yield_now().await;
+            }
             // Past its time the exchange is dropped, and its connection closed with it.
-            let done = timeout(span(hand_off.allow_for), send(&pool, &hand_off, &progress)).await;
-            done.unwrap_or_else(|_| Err(Broken { stage: progress.stage(), cause: Cause::TimedOut }))
+            let timed_out = || Broken { stage: progress.stage(), cause: Cause::TimedOut };
+            exchange.now_or_never().unwrap_or_else(|| Err(timed_out()))
         })
     }
 }
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -49,6 +49,10 @@
         let desk = desk.clone();
         async move { desk.keep_time().await }
     });
+    spawn_local({
+        let desk = desk.clone();
+        async move { desk.pulse.beat().await }
+    });
     spawn_local({
         let pool = pool.clone();
         async move { pool.sweep().await }
--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -183,8 +183,8 @@
         stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a limit");
         Client(BufReader::new(stream))
     }
-    fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    fn signal(&self, signal: &str) {
+        let done = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(done.expect("kill").success());
     }
 }
@@ -418,7 +418,7 @@
     let (mut taken, mut open) = (proxy.client(), proxy.client());
     taken.begin("write", "k1");
     soon("sent", || origin.heard().len() == 1);
-    proxy.terminate();
+    proxy.signal("-TERM");
     thread::sleep(Duration::from_millis(150));
     let mut fresh = proxy.client();
     open.begin("write", "k2");
@@ -525,3 +525,33 @@
     soon("asked anew after each failure, each logged", || discovery.heard().len() >= 3);
     assert_eq!(proxy.client().ask("read", "k").status(), 200);
 }
+
+#[test]
+fn a_stalled_proxy_still_answers_by_the_outer_limit_of_what_came_meanwhile() {
+    let origin = Server::start(|_, _| Does::Hangs);
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let mut client = proxy.client();
+    thread::sleep(Duration::from_millis(100));
+    proxy.signal("-STOP");
+    let start = Instant::now();
+    client.begin("once", "k");
+    thread::sleep(Duration::from_millis(700));
+    proxy.signal("-CONT");
+    assert_eq!(client.read().expect("an answer").status(), 502);
+    assert!(start.elapsed() < Duration::from_millis(1_150), "{:?}", start.elapsed());
+}
+
+#[test]
+fn an_answer_that_came_while_the_proxy_stalled_is_no_time_out() {
+    let origin = Server::start(|_, _| Does::Waits(Duration::from_millis(200), "value"));
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    for n in 0..3 {
+        let mut client = proxy.client();
+        client.begin("once", &format!("k{n}"));
+        soon("sent", || origin.heard().len() == n + 1);
+        proxy.signal("-STOP");
+        thread::sleep(Duration::from_millis(700));
+        proxy.signal("-CONT");
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+}
