A log whose reader stands still holds nothing up

Seen in a test whose log is a full pipe: the first line written blocked the one core, and no access was answered (log.rs, eprintln in the caller's task; with the old log.rs the test fails). A thread of its own now writes, 64 lines wait for it at most, what is over is lost. Ruled out: a non-blocking standard error, which others share.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -23,7 +23,7 @@
 
 const BACKLOG: u32 = 1_024; // connections; those waiting while accept pauses at the limit
 const HEAD_WITHIN: Duration = Duration::from_secs(60); // a connection with no access for this long is closed
-const HEAD_ENDS: Duration = Duration::from_secs(1); // for a head that had begun to come when its place was wanted
+const HEAD_ENDS: Duration = Duration::from_secs(1); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
 const PAUSE: Duration = Duration::from_millis(50); // after accept failed, so that it never spins
 const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 use tower::Service;
 
-const TURNS: usize = 3; // of the runtime: the socket's readiness, the connection's read, the answer's way to us
+const TURNS: usize = 3; // of the runtime: the socket's, the connection's and our own
 
 pub struct HandOff {
     pub access: Rc<Access>,
@@ -73,7 +73,7 @@
 
 async fn send(pool: &Pool, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
     let mut link = open(pool, &hand_off.node).await?;
-    let reply = link.exchange(request(hand_off), BODY_MOST, progress).await?;
+    let reply = link.exchange(message(hand_off), BODY_MOST, progress).await?;
     pool.give_back(&hand_off.node, link);
     Ok(answered(reply))
 }
@@ -88,12 +88,12 @@
     pool.dial(node).await
 }
 
-fn request(hand_off: &HandOff) -> Request<Full<Bytes>> {
+fn message(hand_off: &HandOff) -> Request<Full<Bytes>> {
     let access = &hand_off.access;
-    let mut request = Request::new(Full::new(access.body.clone()));
-    *request.method_mut() = access.method.clone();
-    *request.uri_mut() = access.path.clone();
-    let headers = request.headers_mut();
+    let mut message = Request::new(Full::new(access.body.clone()));
+    *message.method_mut() = access.method.clone();
+    *message.uri_mut() = access.path.clone();
+    let headers = message.headers_mut();
     headers.insert(HOST, access.host.clone().unwrap_or(HeaderValue::from_static("origin.svc")));
     headers.insert("x-request-id", access.id_header.clone());
     if let Some(mark) = &access.repeat_mark {
@@ -103,7 +103,7 @@
     if let Ok(wait) = HeaderValue::from_str(&wait) {
         headers.insert("x-deadline", wait);
     }
-    request
+    message
 }
 
 fn answered(reply: Reply) -> Answered {
--- a/crates/flintwell/src/log.rs
+++ b/crates/flintwell/src/log.rs
@@ -2,10 +2,13 @@
 
 use std::cell::Cell;
 use std::fmt::Arguments;
-use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::panic::catch_unwind;
+use std::sync::OnceLock;
+use std::sync::mpsc::{SyncSender, sync_channel};
 use std::time::{Duration, Instant};
 
 const LINES: u32 = 20; // lines a window; enough to see what goes on
+const WAITING: usize = 64; // lines not written yet; some seconds' worth
 const WINDOW: Duration = Duration::from_secs(1);
 
 thread_local! {
@@ -29,9 +32,20 @@
     })
 }
 
-/// Danger: eprintln panics once nobody reads our log any more, and would take the task that logs along.
+/// Danger: a log whose reader stands still blocks whoever writes, and one whose reader is gone makes eprintln
+/// panic. So a thread of its own writes, and what it has no room for is lost.
 pub fn line(words: Arguments) {
-    let _ = catch_unwind(AssertUnwindSafe(|| eprintln!("flintwell: {words}")));
+    static WRITER: OnceLock<SyncSender<String>> = OnceLock::new();
+    let writer = WRITER.get_or_init(|| {
+        let (writer, lines) = sync_channel::<String>(WAITING);
+        std::thread::spawn(move || {
+            for line in lines {
+                let _ = catch_unwind(|| eprintln!("flintwell: {line}"));
+            }
+        });
+        writer
+    });
+    let _ = writer.try_send(words.to_string());
 }
 
 #[macro_export]
--- a/crates/flintwell/src/pool.rs
+++ b/crates/flintwell/src/pool.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-const IDLE_SHARE: f64 = 0.85; // of the node's limit; ours close first, or an access would be written to a closed one
+const IDLE_SHARE: f64 = 0.85; // of the node's limit; else accesses are written to closed ones
 const SWEEPS: u32 = 10; // looks at idle connections in that time, so that they come well within the margin
 
 struct Place {
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::{LocalSet, spawn_local};
 
-const OWN_SOCKETS: usize = 32; // descriptors; runtime, signals, log, listener, peers, discovery, and some spare
+const OWN_SOCKETS: usize = 32; // descriptors; runtime, signals, log, listener, peers, discovery; some spare
 
 pub fn serve(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -1,5 +1,5 @@
-//! A planned stop, in steps: every answer closes its connection while clients still come; idle connections are
-//! closed while what crosses that can come again on a new one; the door closes; what is in hand is answered.
+//! A planned stop, in steps: every answer closes its connection while clients still come; idle connections
+//! are closed while what crosses that can come again on a new one; the door closes; the rest is answered.
 
 use crate::say;
 use std::sync::Arc;
@@ -9,7 +9,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-const CALM: Duration = Duration::from_millis(450); // after the signal; clients come for some tenths of a second
+const CALM: Duration = Duration::from_millis(450); // after the signal; clients still come for a while
 const DOOR: Duration = Duration::from_millis(100); // more; the way of an access that comes again
 const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
 
--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -3,6 +3,8 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -152,13 +154,13 @@
 }
 
 /// Runs the program on a configuration of this text.
-fn run(command: &[&str], config: &str) -> (Child, std::path::PathBuf) {
+fn run(command: &[&str], config: &str, log: Stdio) -> (Child, std::path::PathBuf) {
     static RUNS: AtomicUsize = AtomicUsize::new(0);
     let number = RUNS.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("flintwell-test-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("a file");
     let mut program = Command::new(PROGRAM);
-    program.args(command).arg(&path).stdout(Stdio::null()).stderr(Stdio::piped());
+    program.args(command).arg(&path).stdout(Stdio::null()).stderr(log);
     (program.spawn().expect("the program"), path)
 }
 
@@ -169,7 +171,7 @@
         })
     }
     fn start_with(config: &Value, keep: impl FnOnce(BufReader<ChildStderr>)) -> Proxy {
-        let (mut child, path) = run(&["serve", "--config"], &config.to_string());
+        let (mut child, path) = run(&["serve", "--config"], &config.to_string(), Stdio::piped());
         let mut log = BufReader::new(child.stderr.take().expect("its log"));
         let mut line = String::new();
         log.read_line(&mut line).expect("a line");
@@ -487,14 +489,14 @@
         (good.to_string().replace("8c1f30d27a5be964", "seed?"), "seed"),
     ] {
         for command in [&["check"][..], &["serve", "--config"]] {
-            let (child, path) = run(command, &bad);
+            let (child, path) = run(command, &bad, Stdio::piped());
             let done = child.wait_with_output().expect("its end");
             std::fs::remove_file(path).expect("the file");
             let said = String::from_utf8_lossy(&done.stderr);
             assert!(!done.status.success() && said.lines().count() == 1 && said.contains(names), "{said}");
         }
     }
-    let (mut child, path) = run(&["check"], &good.to_string());
+    let (mut child, path) = run(&["check"], &good.to_string(), Stdio::null());
     assert!(child.wait().expect("its end").success());
     std::fs::remove_file(path).expect("the file");
 }
@@ -555,3 +557,20 @@
         assert_eq!(client.read().expect("an answer").status(), 200);
     }
 }
+
+#[test]
+fn a_log_whose_reader_stands_still_holds_nothing_up() {
+    let origin = Server::start(|_, _| Does::Answers(200, "value"));
+    let mut config = config(misses().addr, origin.addr);
+    let addr = closed();
+    config["listen"] = json!(addr.to_string());
+    let (mut log, _reader) = UnixStream::pair().expect("a pair");
+    log.set_nonblocking(true).expect("to set");
+    while log.write(&[b'.'; 4_096]).is_ok() {}
+    log.set_nonblocking(false).expect("to set");
+    let (child, path) = run(&["serve", "--config"], &config.to_string(), Stdio::from(OwnedFd::from(log)));
+    let proxy = Proxy { child, addr };
+    soon("it listens", || TcpStream::connect(addr).is_ok());
+    assert_eq!(proxy.client().ask("read", "k").status(), 200);
+    std::fs::remove_file(path).expect("the file");
+}
