An address still held is waited for; a watch that does not wait is paced

Checked with two tests, each failing before: a forerunner that still listened made the start fail (accept.rs, bind tried once), and a discovery that answers a watch at once with nothing was asked without a pause (discovery.rs). A connection to a node reads 64 KiB ahead at most, so that some hundreds stay within the memory given.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -11,10 +11,11 @@
 use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
@@ -25,7 +26,8 @@
 const HEAD_WITHIN: Duration = Duration::from_secs(60); // a connection with no access for this long is closed
 const HEAD_ENDS: Duration = Duration::from_secs(1); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
-const PAUSE: Duration = Duration::from_millis(50); // after accept failed, so that it never spins
+const PAUSE: Duration = Duration::from_millis(50); // after a failure, so that it never spins
+const FREE_WITHIN: Duration = Duration::from_secs(5); // for a forerunner to end; a planned stop takes less
 const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
 
 /// Clients' connections, by how long they have stood idle.
@@ -91,7 +93,20 @@
     }
 }
 
-pub fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+/// Opens our address; one that our forerunner still holds is waited for.
+pub async fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let start = Instant::now();
+    loop {
+        match open(addr) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && start.elapsed() < FREE_WITHIN => {
+                tokio::time::sleep(PAUSE).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
+fn open(addr: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A proxy that starts again finds its address free, though old connections linger.
     socket.set_reuseaddr(true)?;
--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -17,13 +17,14 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 const WATCH: Duration = Duration::from_secs(10); // a watch's wait; a silent discovery is noticed soon after
 const GRACE: Duration = Duration::from_secs(2); // beyond it, for the way and for discovery's other calls
 const DIAL: Duration = Duration::from_secs(1); // for a connection to come up; far above any way there
+const PACE: Duration = Duration::from_millis(100); // between empty answers; well under what ends a watch
 const LIST_MOST: usize = 4 << 20; // bytes; a list of ten thousand nodes
 const RETRY: Micros = 250_000; // us; first wait after a failed call, where the module does not set it
 const RETRY_DOUBLINGS: u32 = 4; // of that wait; 4 s at most, or changes are told late
@@ -130,9 +131,14 @@
             }
             // The next call comes at once, so that the watch goes on.
             let broken = loop {
+                let asked = Instant::now();
                 match self.call().await {
                     Ok(listing) => {
                         failures = 0;
+                        if listing.servers.is_empty() && asked.elapsed() < PACE {
+                            // Danger: a watch that does not wait would be asked without a pause.
+                            sleep(PACE).await;
+                        }
                         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
                         self.tell(&listing, kind, &desk);
                     }
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -20,6 +20,8 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
 
+const BUFFER: usize = 65_536; // bytes a connection reads ahead at most; some hundreds share our memory
+
 /// How far an exchange had come when it broke.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
@@ -143,7 +145,11 @@
         stream.set_nodelay(true).map_err(|e| closed(&e))?;
         let written = Rc::new(Cell::new(0));
         let counted = Counted { stream, written: written.clone() };
-        let (sender, connection) = http1::handshake(TokioIo::new(counted)).await.map_err(|e| closed(&e))?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER)
+            .handshake(TokioIo::new(counted))
+            .await
+            .map_err(|e| closed(&e))?;
         let driver = tokio::task::spawn_local(async move {
             // How an exchange ended is told to the one who waits for it.
             let _ = connection.await;
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -27,7 +27,8 @@
 async fn run(config: Config) -> Result<(), String> {
     // An access holds a client's connection and one to a node at most: half of the room for each.
     let connections = (config.sockets - OWN_SOCKETS) / 2;
-    let listener = accept::listen(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let listener =
+        accept::listen(config.listen).await.map_err(|e| format!("listen {}: {e}", config.listen))?;
     let peers = match config.peer_listen {
         Some(addr) => match Peers::open(addr, config.peers).await {
             Ok(peers) => Some(Rc::new(peers)),
--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -574,3 +574,26 @@
     assert_eq!(proxy.client().ask("read", "k").status(), 200);
     std::fs::remove_file(path).expect("the file");
 }
+
+#[test]
+fn a_watch_that_does_not_wait_is_not_asked_without_a_pause() {
+    let discovery = Server::start(|_, _| Does::Answers(200, r#"{"version":1,"full":false,"servers":[]}"#));
+    let mut config = config(misses().addr, closed());
+    config["discovery"] = json!(discovery.addr.to_string());
+    let _proxy = Proxy::start(&config);
+    thread::sleep(Duration::from_millis(1_000));
+    let calls = discovery.heard().len();
+    assert!((2..=12).contains(&calls), "{calls} calls in a second");
+}
+
+#[test]
+fn an_address_still_held_by_a_forerunner_is_waited_for() {
+    let held = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
+    config["listen"] = json!(held.local_addr().expect("an address").to_string());
+    thread::spawn(move || {
+        thread::sleep(Duration::from_millis(400));
+        drop(held);
+    });
+    assert_eq!(Proxy::start(&config).client().ask("read", "k").status(), 200);
+}
