--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -1,5 +1,7 @@
 //! The proxy as a process on loopback, between clients, nodes and a discovery that do as each test says.
 
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -597,3 +599,43 @@
     });
     assert_eq!(Proxy::start(&config).client().ask("read", "k").status(), 200);
 }
+
+/// A message with some of its bytes replaced, doubled or cut off.
+fn garbled(chance: &mut ChaCha8Rng, message: &str) -> Vec<u8> {
+    let mut bytes = message.as_bytes().to_vec();
+    for _ in 0..chance.random_range(1..6) {
+        let place = chance.random_range(0..bytes.len());
+        match chance.random_range(0..3) {
+            0 => bytes[place] = chance.random(),
+            1 => bytes.extend_from_within(place..),
+            _ => bytes.truncate(place.max(1)),
+        }
+    }
+    bytes
+}
+
+#[test]
+fn garbled_messages_from_clients_and_nodes_harm_nothing() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Cache: hit\r\n\r\nvalue";
+    let origin = Server::start(move |message, number| {
+        let mut chance = ChaCha8Rng::seed_from_u64(number as u64);
+        match message.first.contains("last") {
+            true => Does::Answers(200, "value"),
+            false => Does::Says(String::from_utf8_lossy(&garbled(&mut chance, answer)).into_owned().leak()),
+        }
+    });
+    let proxy = Proxy::start(&config(misses().addr, origin.addr));
+    let mut chance = ChaCha8Rng::seed_from_u64(7);
+    let access = "PUT /api/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: i\r\nX-Class: write\r\nX-Deadline: 0.3\r\n\
+                  X-Cost-Hint: 70000\r\nContent-Length: 1\r\n\r\nv";
+    for _ in 0..300 {
+        let mut client = proxy.client();
+        let _ = client.0.get_mut().write_all(&garbled(&mut chance, access));
+    }
+    for n in 0..20 {
+        let status = proxy.client().ask("once", &format!("k{n}")).status();
+        assert!([200, 502, 503].contains(&status), "{status}");
+    }
+    let done = || proxy.client().ask("write", &format!("last{}", origin.heard().len())).status() == 200;
+    soon("served again once the origin speaks clearly", done);
+}
