A part that panics starts again

Each now starts again after 0.1 s; discovery tells the module that its watch failed, or the module would wait for it for good.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -115,13 +115,13 @@
 }
 
 /// Accepts until shutdown closes the door; then takes in what still stands before it.
-pub async fn accept(listener: TcpListener, room: Arc<Semaphore>, front: Front) {
+pub async fn accept(listener: &TcpListener, room: &Arc<Semaphore>, front: &Front) {
     let shutdown = front.shutdown.clone();
     let clients = Rc::new(Clients::default());
     loop {
         let next = async {
             // At the limit accept pauses; the rest waits in the backlog.
-            let permit = clients.make_room(&room).await;
+            let permit = clients.make_room(room).await;
             (permit, listener.accept().await)
         };
         let (permit, accepted) = tokio::select! {
@@ -138,7 +138,7 @@
     }
     // Danger: a connection that the machine has accepted for us may hold an access already.
     while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
-        admit(stream, clients.make_room(&room).await, front.clone(), &clients);
+        admit(stream, clients.make_room(room).await, front.clone(), &clients);
     }
 }
 
--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -103,6 +103,7 @@
     rng: ChaCha8Rng,
     version: u64,
     link: Option<Link>,
+    watching: bool,
 }
 
 impl Discovery {
@@ -114,7 +115,7 @@
         seed: u64,
     ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        Discovery { addr, network, pool, wanted, rng, version: 0, link: None }
+        Discovery { addr, network, pool, wanted, rng, version: 0, link: None, watching: false }
     }
 
     /// The list as it was last had.
@@ -123,12 +124,17 @@
     }
 
     /// Watches for as long as calls go well; after a failure anew when the module asks, or after a wait.
-    pub async fn watch(mut self, desk: Rc<Desk>) {
+    pub async fn watch(&mut self, desk: &Desk) {
         let mut failures = 0;
+        if self.watching {
+            // Started again in the midst of a watch, which the module takes to go on.
+            desk.list(Told { kind: ListKind::Failed, entries: Vec::new() });
+        }
         loop {
             if let Some(wanted) = &self.wanted {
                 wanted.notified().await;
             }
+            self.watching = true;
             // The next call comes at once, so that the watch goes on.
             let broken = loop {
                 let asked = Instant::now();
@@ -140,13 +146,13 @@
                             sleep(PACE).await;
                         }
                         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
-                        self.tell(&listing, kind, &desk);
+                        self.tell(&listing, kind, desk);
                     }
                     Err(broken) => break broken,
                 }
             };
             say!("discovery: {broken}");
-            self.link = None;
+            (self.link, self.watching) = (None, false);
             // What was asked for during the call that failed is answered by its failure.
             self.wanted.as_ref().map(|wanted| wanted.notified().now_or_never());
             desk.list(Told { kind: ListKind::Failed, entries: Vec::new() });
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -11,13 +11,27 @@
 use crate::pool::Pool;
 use crate::say;
 use crate::shutdown;
+use futures_util::FutureExt;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Notify, Semaphore};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
+const AGAIN: Duration = Duration::from_millis(100); // before a part starts again; well under what ends a watch
 const OWN_SOCKETS: usize = 32; // descriptors; runtime, signals, log, listener, peers, discovery; some spare
 
+/// Does a part's work to its end. Danger: a part that panics would be missed for as long as we run, with no
+/// sign of it: a list grown old, a door shut.
+async fn lasting(part: &str, mut work: impl AsyncFnMut()) {
+    while AssertUnwindSafe(work()).catch_unwind().await.is_err() {
+        say!("{part} panicked, and starts again");
+        sleep(AGAIN).await;
+    }
+}
+
 pub fn serve(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
@@ -45,29 +59,42 @@
     let desk = Rc::new(Desk::new(clock, config.settings, seed, list_wanted, pool.clone(), peers.clone()));
     let mut discovery = Discovery::new(config.discovery, network.clone(), pool.clone(), asked, seed);
     discovery.start(&config.known, &desk);
-    spawn_local(discovery.watch(desk.clone()));
-    spawn_local({
-        let desk = desk.clone();
-        async move { desk.keep_time().await }
-    });
-    spawn_local({
-        let desk = desk.clone();
-        async move { desk.pulse.beat().await }
-    });
-    spawn_local({
-        let pool = pool.clone();
-        async move { pool.sweep().await }
-    });
+    let watched = desk.clone();
+    spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
+    let timed = desk.clone();
+    spawn_local(lasting("timer", async move || timed.keep_time().await));
+    let beating = desk.clone();
+    spawn_local(lasting("pulse", async move || beating.pulse.beat().await));
+    let swept = pool.clone();
+    spawn_local(lasting("sweep", async move || swept.sweep().await));
     if let Some(peers) = peers {
-        let desk = desk.clone();
-        spawn_local(async move { peers.listen(&desk).await });
+        let told = desk.clone();
+        spawn_local(lasting("peers", async move || peers.listen(&told).await));
     }
     let (stop, shutdown) = shutdown::new();
     let room = Arc::new(Semaphore::new(connections));
     let front = Front { desk, hand_offs: HandOffs::new(pool), network, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     say!("{} serves on {at}", config.name);
-    let accepting = spawn_local(accept::accept(listener, room.clone(), front));
+    let doors = room.clone();
+    let accepting =
+        spawn_local(lasting("accept", async move || accept::accept(&listener, &doors, &front).await));
     let stopped = stop.on_signal(accepting, room, connections as u32, longest).await;
     stopped.map_err(|e| format!("signals: {e}"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_part_that_panics_starts_again() {
+        let mut starts = 0;
+        let work = async || {
+            starts += 1;
+            assert!(starts > 2, "as a test");
+        };
+        lasting("a part", work).await;
+        assert_eq!(starts, 3);
+    }
+}
