--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -232,13 +232,36 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::discovery::Told;
+    use flintwell_core::interface::{Entry, ListKind, Standing};
+
+    fn desk() -> Rc<Desk> {
+        let conf = serde_json::json!({"use_cases": [{"effect": "safe", "goal_time": 1.0}],
+            "specifics": {"mode": "aside", "origin_kind": 1}, "limits": {"max_hand_offs": 4}});
+        let settings = flintwell_settings::decode(&conf).expect("settings");
+        Rc::new(Desk::new(Clock::start(), settings, 1, Rc::default(), Pool::new(1, 1, 1), None))
+    }
+
+    /// A read of this key that has missed at the cache, if it came that far, and what the module says then.
+    fn missed(desk: &Rc<Desk>, id: &str, key: &str) -> (Seat, Option<Step>) {
+        let mut seat = desk.seat(id.into()).expect("a seat");
+        let (id, key) = (id.into(), Some(key.into()));
+        let outer_limit = desk.clock.now() + 1_000_000;
+        seat.arrives(Arrival { id, use_case: 0, tenant: 0, key, outer_limit, work: None, write: false });
+        if let Some(Step::HandOff { node, .. }) = seat.place.next.take() {
+            seat.sends(&node);
+            seat.ended(Ending::Miss, 1_000);
+        }
+        let step = seat.place.next.take();
+        if let Some(Step::HandOff { node, .. }) = &step {
+            seat.sends(node);
+        }
+        (seat, step)
+    }
 
     #[test]
     fn a_panic_in_a_call_ends_neither_the_timer_nor_the_accesses() {
-        let conf = serde_json::json!({"use_cases": [{"goal_time": 1.0}]});
-        let settings = flintwell_settings::decode(&conf).expect("settings");
-        let pool = Pool::new(1, 1, 1);
-        let desk = Rc::new(Desk::new(Clock::start(), settings, 1, Rc::default(), pool, None));
+        let desk = desk();
         let seat = desk.seat("a".into()).expect("a seat");
         assert!(!desk.module(|_, _| panic!("as a test")));
         seat.or_break_off(false);
@@ -246,4 +269,22 @@
         assert!(desk.module(|module, now| module.timer(now, 0)));
         assert!(desk.seat("a".into()).is_none(), "the id is in hand");
     }
+
+    #[test]
+    fn a_client_that_leaves_while_held_leaves_no_fetch_behind() {
+        let desk = desk();
+        let entry = |node: &str, kind| {
+            let (node, standing) = (node.into(), Standing::Ready);
+            Entry { node, kind, standing, size: 1.0, ..Entry::default() }
+        };
+        desk.list(Told { kind: ListKind::Whole, entries: vec![entry("cache", 0), entry("origin", 1)] });
+        let (mut leader, step) = missed(&desk, "leader", "k");
+        assert!(matches!(step, Some(Step::HandOff { .. })));
+        for n in 0..8 {
+            assert!(missed(&desk, &format!("held {n}"), "k").1.is_none(), "held, then dropped");
+        }
+        leader.ended(Ending::Error, 1_000);
+        let others = ["a", "b", "c"].map(|key| missed(&desk, key, key));
+        assert!(others.iter().all(|(_, step)| matches!(step, Some(Step::HandOff { .. }))));
+    }
 }
