A fresh client connection is never closed to make room before its access can come

Seen: the test at the limit of descriptors failed once in nine runs with eight busy loops beside. Cause: each connection that fell idle, fresh ones too, had another one closed (accept.rs, make_room), so a client whose access was on the way was closed twice in a row. Now a fresh one is kept for a second, and while room is wanted one idle connection is closed every 10 ms. Ruled out: the answer lost in the proxy (no seat was taken).

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -24,7 +24,9 @@
 
 const BACKLOG: u32 = 1_024; // connections; those waiting while accept pauses at the limit
 const HEAD_WITHIN: Duration = Duration::from_secs(60); // a connection with no access for this long is closed
-const HEAD_ENDS: Duration = Duration::from_secs(1); // for a head begun when its place was wanted
+const FRESH: Duration = Duration::from_secs(1); // for which a new connection is kept, whoever waits
+const CLOSE_EVERY: Duration = Duration::from_millis(10); // idle ones, one by one, while room is wanted
+const HEAD_ENDS: Duration = Duration::from_millis(250); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
 const PAUSE: Duration = Duration::from_millis(50); // after a failure, so that it never spins
 const FREE_WITHIN: Duration = Duration::from_secs(5); // for a forerunner to end; a planned stop takes less
@@ -35,11 +37,10 @@
 struct Clients {
     turn: Cell<u64>,
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
-    one_idles: Notify,
 }
 
-/// Whether the connection is fresh, as its first access may be on the way, and its turn.
-type Place = (bool, u64);
+/// When an idle connection may be closed, and its turn.
+type Place = (Instant, u64);
 
 /// One client's connection.
 struct Client {
@@ -52,7 +53,8 @@
 impl Clients {
     fn enter(self: &Rc<Self>) -> Rc<Client> {
         let client = Client { clients: self.clone(), idle: Cell::default(), close: Rc::default() };
-        client.idles(true);
+        // Danger: a fresh connection's first access may be on the way, and the next one's too.
+        client.idles(FRESH);
         Rc::new(client)
     }
 
@@ -61,14 +63,12 @@
     async fn make_room(&self, room: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         let mut permit = std::pin::pin!(room.clone().acquire_owned());
         loop {
-            if room.available_permits() == 0 {
-                let longest = self.idle.borrow_mut().pop_first();
-                longest.inspect(|(_, close)| close.notify_one());
+            if let Ok(permit) = timeout(CLOSE_EVERY, permit.as_mut()).await {
+                return permit.ok();
             }
-            tokio::select! {
-                biased;
-                permit = permit.as_mut() => return permit.ok(),
-                () = self.one_idles.notified() => {}
+            let mut idle = self.idle.borrow_mut();
+            if let Some(longest) = idle.first_entry().filter(|first| first.key().0 <= Instant::now()) {
+                longest.remove().notify_one();
             }
         }
     }
@@ -78,12 +78,11 @@
     fn busy(&self) {
         self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
     }
-    fn idles(&self, fresh: bool) {
-        let place = (fresh, self.clients.turn.get());
+    fn idles(&self, kept_for: Duration) {
+        let place = (Instant::now() + kept_for, self.clients.turn.get());
         self.clients.turn.set(place.1 + 1);
         self.clients.idle.borrow_mut().insert(place, self.close.clone());
         self.idle.set(Some(place));
-        self.clients.one_idles.notify_one();
     }
 }
 
@@ -153,7 +152,7 @@
                 let client = client.clone();
                 async move {
                     let answer = answer.await;
-                    client.idles(false);
+                    client.idles(Duration::ZERO);
                     answer
                 }
             }
