The network code read once more: copies made one, no behaviour changed

Told (a pair only to call Desk::list) is gone; what broke, and how far it had come, is said by Progress::broken in five places that built it by hand; Link::ready hands back the link, for the pool and discovery alike; the pool tests an idle link at one place; a hand-off is one call of the service; a seat's flag is a plain bool; header look-ups go by transpose. The toy's list is made by the JSON library. All tests kept as they were but for that call's two arguments.

--- a/crates/flintwell/src/access.rs
+++ b/crates/flintwell/src/access.rs
@@ -6,9 +6,9 @@
 use crate::handoff::{HandOff, HandOffs};
 use flintwell_core::interface::Ending;
 use std::rc::Rc;
-use tower::{Service, ServiceExt};
+use tower::ServiceExt;
 
-pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &mut HandOffs) -> Answer {
+pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs) -> Answer {
     let access = Rc::new(access);
     let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
     let outer_limit = access.outer_limit(desk.pulse.waited_from());
@@ -19,10 +19,7 @@
                 let sent_at = desk.clock.now();
                 seat.sends(&node);
                 let hand_off = HandOff { access: access.clone(), node, allow_for };
-                let ended = match hand_offs.ready().await {
-                    Ok(service) => service.call(hand_off).await,
-                    Err(broken) => Err(broken),
-                };
+                let ended = hand_offs.clone().oneshot(hand_off).await;
                 let wait = desk.clock.now() - sent_at;
                 match ended {
                     Ok(answered) => {
--- a/crates/flintwell/src/config.rs
+++ b/crates/flintwell/src/config.rs
@@ -54,7 +54,7 @@
     decode_config(&text).map_err(|e| place(&e))
 }
 
-pub fn decode_config(text: &[u8]) -> Result<Config, String> {
+fn decode_config(text: &[u8]) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let sockets = file.limits.and_then(|limits| limits.sockets).unwrap_or(SOCKETS);
     if sockets < SOCKETS_LEAST {
--- a/crates/flintwell/src/decode.rs
+++ b/crates/flintwell/src/decode.rs
@@ -6,7 +6,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Uri};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -50,38 +51,27 @@
             Ok(Err(_)) => return Err(Malformed::BodyBroken),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        Self::from_parts(head.method, head.uri, &head.headers, body, network)
+        Self::from_parts(head, body, network)
     }
 
-    pub fn from_parts(
-        method: Method,
-        path: Uri,
-        headers: &HeaderMap,
-        body: Bytes,
-        network: &Network,
-    ) -> Result<Self, Malformed> {
+    fn from_parts(head: Parts, body: Bytes, network: &Network) -> Result<Self, Malformed> {
+        let Parts { method, uri: path, headers, .. } = head;
         if method != Method::GET && method != Method::PUT {
             return Err(Malformed::Method);
         }
-        let text = |name: &'static str| match headers.get(name) {
-            None => Ok(None),
-            Some(value) => value.to_str().map(|text| Some(text.trim())).map_err(|_| Malformed::Header(name)),
+        let text = |name: &'static str| {
+            let text = headers.get(name).map(|value| value.to_str().map(str::trim));
+            text.transpose().map_err(|_| Malformed::Header(name))
         };
         let need =
             |name: &'static str| text(name)?.filter(|text| !text.is_empty()).ok_or(Malformed::Header(name));
-        let named = |name: &'static str, names: &[String]| match text(name)? {
-            None => Ok(None),
-            Some(word) => {
-                let found = names.iter().position(|n| n == word);
-                found.map(Some).ok_or(Malformed::Header(name))
-            }
+        let named = |name: &'static str, names: &[String]| {
+            let found = |word: &str| names.iter().position(|n| n == word).ok_or(Malformed::Header(name));
+            text(name)?.map(found).transpose()
         };
-        let number = |name: &'static str| match text(name)? {
-            None => Ok(None),
-            Some(word) => {
-                let number = word.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
-                number.map(Some).ok_or(Malformed::Header(name))
-            }
+        let number = |name: &'static str| {
+            let read = |word: &str| word.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+            text(name)?.map(|word| read(word).ok_or(Malformed::Header(name))).transpose()
         };
         let waits = number("x-deadline")?.ok_or(Malformed::Header("x-deadline"))?.min(LIMIT_MOST);
         let key = path.path().rsplit('/').next().filter(|key| !key.is_empty()).map(Key::from);
--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -5,9 +5,11 @@
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::say;
-use flintwell_core::interface::{AccessId, Arrival, Ending, Host, Micros, NodeId, Outcome, Settings};
+use flintwell_core::interface::{
+    AccessId, Arrival, Ending, Entry, Host, ListKind, Micros, NodeId, Outcome, Settings,
+};
 use flintwell_core::policy::Policy;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -120,8 +122,8 @@
         done.is_ok()
     }
 
-    pub fn list(&self, told: crate::discovery::Told) {
-        self.module(|module, now| module.list(now, told.kind, told.entries));
+    pub fn list(&self, kind: ListKind, entries: Vec<Entry>) {
+        self.module(|module, now| module.list(now, kind, entries));
     }
 
     pub fn peer_message(&self, peer: u32, body: &str) {
@@ -136,7 +138,7 @@
             return None;
         }
         places.insert(id.clone(), place.clone());
-        Some(Seat { desk: self.clone(), id, place, hand_offs: 0, out: None, over: Cell::new(true) })
+        Some(Seat { desk: self.clone(), id, place, hand_offs: 0, out: None, over: true })
     }
 
     /// Calls the module at the times it asked for. Danger: a time that has passed, asked for again at each
@@ -173,12 +175,12 @@
     place: Rc<Place>,
     hand_offs: usize,
     out: Option<NodeId>,
-    over: Cell<bool>,
+    over: bool,
 }
 
 impl Seat {
-    pub fn arrives(&self, arrival: Arrival) {
-        self.over.set(false);
+    pub fn arrives(&mut self, arrival: Arrival) {
+        self.over = false;
         self.or_break_off(self.desk.module(|module, now| module.access_arrives(now, arrival)));
     }
 
@@ -190,7 +192,7 @@
     }
 
     /// The module's next word; none by the outer limit.
-    pub async fn next(&self, outer_limit: Micros) -> Option<Step> {
+    pub async fn next(&mut self, outer_limit: Micros) -> Option<Step> {
         let word = async {
             loop {
                 if let Some(step) = self.place.next.take() {
@@ -200,7 +202,7 @@
             }
         };
         let step = timeout_at(self.desk.clock.instant(outer_limit), word).await.ok()?;
-        self.over.set(!matches!(step, Step::HandOff { .. }));
+        self.over = !matches!(step, Step::HandOff { .. });
         Some(step)
     }
 
@@ -211,9 +213,8 @@
     /// How the hand-off that is out has ended, after `wait`.
     pub fn ended(&mut self, ending: Ending, wait: Micros) {
         let Some(node) = self.out.take() else { return };
-        let settled = self.over.get() || ending == Ending::Honoured;
-        self.over.set(settled);
-        let outcome = Outcome { number: self.hand_offs, ending, wait, settled };
+        self.over |= ending == Ending::Honoured;
+        let outcome = Outcome { number: self.hand_offs, ending, wait, settled: self.over };
         self.hand_offs += 1;
         self.or_break_off(self.desk.module(|module, now| module.outcome(now, &self.id, &node, outcome)));
     }
@@ -221,7 +222,7 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        if !self.over.replace(true) {
+        if !std::mem::replace(&mut self.over, true) {
             self.desk.module(|module, now| module.access_gone(now, &self.id));
         }
         self.ended(Ending::CalledOff, 0);
@@ -232,8 +233,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::discovery::Told;
-    use flintwell_core::interface::{Entry, ListKind, Standing};
+    use flintwell_core::interface::Standing;
 
     fn desk() -> Rc<Desk> {
         let conf = serde_json::json!({"use_cases": [{"effect": "safe", "goal_time": 1.0}],
@@ -277,7 +277,7 @@
             let (node, standing) = (node.into(), Standing::Ready);
             Entry { node, kind, standing, size: 1.0, ..Entry::default() }
         };
-        desk.list(Told { kind: ListKind::Whole, entries: vec![entry("cache", 0), entry("origin", 1)] });
+        desk.list(ListKind::Whole, vec![entry("cache", 0), entry("origin", 1)]);
         let (mut leader, step) = missed(&desk, "leader", "k");
         assert!(matches!(step, Some(Step::HandOff { .. })));
         for n in 0..8 {
--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -66,12 +66,6 @@
     }
 }
 
-/// What the module is told.
-pub struct Told {
-    pub kind: ListKind,
-    pub entries: Vec<Entry>,
-}
-
 impl Line {
     fn entry(&self, network: &Network) -> Entry {
         let place = |names: &[String], name: &str| {
@@ -128,7 +122,7 @@
         let mut failures = 0;
         if self.watching {
             // Started again in the midst of a watch, which the module takes to go on.
-            desk.list(Told { kind: ListKind::Failed, entries: Vec::new() });
+            desk.list(ListKind::Failed, Vec::new());
         }
         loop {
             if let Some(wanted) = &self.wanted {
@@ -155,7 +149,7 @@
             (self.link, self.watching) = (None, false);
             // What was asked for during the call that failed is answered by its failure.
             self.wanted.as_ref().map(|wanted| wanted.notified().now_or_never());
-            desk.list(Told { kind: ListKind::Failed, entries: Vec::new() });
+            desk.list(ListKind::Failed, Vec::new());
             if self.wanted.is_none() {
                 let wait = (RETRY << u32::min(failures, RETRY_DOUBLINGS)) as f64;
                 failures += 1;
@@ -185,24 +179,22 @@
                 }
             }
         }
-        desk.list(Told { kind, entries });
+        desk.list(kind, entries);
     }
 
     async fn call(&mut self) -> Result<Listing, Broken> {
         let progress = Progress::default();
         let answered = timeout(WATCH + GRACE, self.exchange(&progress)).await;
-        let body = answered.unwrap_or(Err(Broken { stage: progress.stage(), cause: Cause::TimedOut }))?;
-        serde_json::from_slice(&body)
-            .map_err(|e| Broken { stage: progress.stage(), cause: Cause::Garbage(e.to_string()) })
+        let body = answered.unwrap_or_else(|_| Err(progress.broken(Cause::TimedOut)))?;
+        serde_json::from_slice(&body).map_err(|e| progress.broken(Cause::Garbage(e.to_string())))
     }
 
     async fn exchange(&mut self, progress: &Progress) -> Result<Bytes, Broken> {
-        let mut kept = self.link.take();
-        let open = match &mut kept {
+        let open = match self.link.take() {
             Some(link) => link.ready().await,
-            None => false,
+            None => None,
         };
-        let mut link = match kept.filter(|_| open) {
+        let mut link = match open {
             Some(link) => link,
             None => timeout(DIAL, Link::dial(self.addr, None))
                 .await
@@ -210,7 +202,7 @@
         };
         let path = format!("/registry/instances?since={}&timeout_ms={}", self.version, WATCH.as_millis());
         let mut request = Request::new(Full::new(Bytes::new()));
-        let garbage = |words: String| Broken { stage: progress.stage(), cause: Cause::Garbage(words) };
+        let garbage = |words| progress.broken(Cause::Garbage(words));
         *request.uri_mut() = path.parse().map_err(|_| garbage(path))?;
         request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
         let reply = link.exchange(request, LIST_MOST, progress).await?;
--- a/crates/flintwell/src/front.rs
+++ b/crates/flintwell/src/front.rs
@@ -35,12 +35,12 @@
     }
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let mut front = self.clone();
+        let front = self.clone();
         Box::pin(async move {
             let answer = match request.uri().path() {
                 "/health/ready" => Answer::Ready(!front.shutdown.begun()),
                 _ => match Access::decode(request, &front.network).await {
-                    Ok(access) => access::serve(access, &front.desk, &mut front.hand_offs).await,
+                    Ok(access) => access::serve(access, &front.desk, &front.hand_offs).await,
                     Err(malformed) => Answer::Malformed(malformed),
                 },
             };
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -65,8 +65,7 @@
                 tokio::task::yield_now().await;
             }
             // Past its time the exchange is dropped, and its connection closed with it.
-            let timed_out = || Broken { stage: progress.stage(), cause: Cause::TimedOut };
-            exchange.now_or_never().unwrap_or_else(|| Err(timed_out()))
+            exchange.now_or_never().unwrap_or_else(|| Err(progress.broken(Cause::TimedOut)))
         })
     }
 }
@@ -80,8 +79,8 @@
 
 /// An idle connection that still takes an exchange, or a new one.
 async fn open(pool: &Pool, node: &NodeId) -> Result<Link, Broken> {
-    while let Some(mut link) = pool.idle(node) {
-        if link.ready().await {
+    while let Some(link) = pool.idle(node) {
+        if let Some(link) = link.ready().await {
             return Ok(link);
         }
     }
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -115,12 +115,15 @@
 pub struct Progress(Cell<Option<(Rc<Cell<u64>>, u64)>>);
 
 impl Progress {
-    pub fn stage(&self) -> Stage {
+    fn stage(&self) -> Stage {
         let mark = self.0.take();
         let begun = mark.as_ref().is_some_and(|(written, before)| written.get() > *before);
         self.0.set(mark);
         if begun { Stage::Written } else { Stage::Unwritten }
     }
+    pub fn broken(&self, cause: Cause) -> Broken {
+        Broken { stage: self.stage(), cause }
+    }
 }
 
 pub struct Reply {
@@ -158,9 +161,9 @@
         Ok(Link { sender, written, driver: driver.abort_handle(), idle_since: Instant::now() })
     }
 
-    /// Whether another exchange can go out on it.
-    pub async fn ready(&mut self) -> bool {
-        self.sender.ready().await.is_ok()
+    /// Itself, if another exchange can go out on it.
+    pub async fn ready(mut self) -> Option<Self> {
+        self.sender.ready().await.is_ok().then_some(self)
     }
 
     pub fn closed(&self) -> bool {
@@ -177,8 +180,7 @@
         progress.0.set(Some((self.written.clone(), self.written.get())));
         let broken = |error: hyper::Error| {
             let words = error.to_string();
-            let cause = if error.is_parse() { Cause::Garbage(words) } else { Cause::Closed(words) };
-            Broken { stage: progress.stage(), cause }
+            progress.broken(if error.is_parse() { Cause::Garbage(words) } else { Cause::Closed(words) })
         };
         let (head, body) = self.sender.send_request(request).await.map_err(broken)?.into_parts();
         let body =
--- a/crates/flintwell/src/pool.rs
+++ b/crates/flintwell/src/pool.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
@@ -70,13 +70,17 @@
         let mut nodes = self.nodes.borrow_mut();
         let place = nodes.get_mut(node)?;
         while let Some(link) = place.idle.pop() {
-            if !link.closed() && link.idle_since.elapsed() < self.idle_most {
+            if self.fresh(&link) {
                 return Some(link);
             }
         }
         None
     }
 
+    fn fresh(&self, link: &Link) -> bool {
+        !link.closed() && link.idle_since.elapsed() < self.idle_most
+    }
+
     pub async fn dial(&self, node: &NodeId) -> Result<Link, Broken> {
         let unlisted = || Broken::unwritten(Cause::Unlisted);
         let Some(addr) = self.ready_addr(node) else { return Err(unlisted()) };
@@ -116,10 +120,8 @@
     pub async fn sweep(&self) {
         loop {
             tokio::time::sleep(self.idle_most / SWEEPS).await;
-            let now = Instant::now();
-            let fresh = |link: &Link| !link.closed() && now - link.idle_since < self.idle_most;
             for place in self.nodes.borrow_mut().values_mut() {
-                place.idle.retain(fresh);
+                place.idle.retain(|link| self.fresh(link));
             }
         }
     }
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -7,6 +7,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde_json::json;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -113,10 +114,8 @@
     }
     let caches = CACHES.iter().enumerate().map(|(n, addr)| (format!("cache-{n}"), *addr, "cache"));
     let nodes = caches.chain([("origin".to_owned(), ORIGIN, "origin")]).map(|(id, addr, kind)| {
-        format!(
-            r#"{{"id":"{id}","addr":"{addr}","zone":"here","kind":"{kind}","cell":0,"state":"ready","weight":1.0,"started_ms":0}}"#
-        )
+        json!({"id": id, "addr": addr, "zone": "here", "kind": kind, "cell": 0, "state": "ready", "weight": 1.0,
+            "started_ms": 0})
     });
-    let nodes: Vec<String> = nodes.collect();
-    format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, nodes.join(",")).into()
+    json!({"version": 1, "full": true, "servers": nodes.collect::<Vec<_>>()}).to_string().into()
 }
