SIGHUP reads the configuration anew and moves the watch to where discovery is now

Checked: shutdown.rs takes SIGTERM and SIGINT only, so SIGHUP has its default, the process's end; discovery.rs held the address by value for good. Ruled out: nothing else ended it (log, one crash line, no panic). At fault: serve.rs (no handler), discovery.rs (address fixed). Change: reload.rs reads the file at each signal; discovery listens for the address, breaks off its call there and asks the new one for the whole list, then watches. An unreadable file is one log line. Nothing else of the file is taken: accesses, connections and estimates are kept. Test: a_new_configuration_moves_the_watch_and_keeps_the_accesses (fails without: the process ends).

--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 const WATCH: Duration = Duration::from_secs(10); // a watch's wait; a silent discovery is noticed soon after
@@ -89,27 +89,31 @@
 }
 
 pub struct Discovery {
-    addr: SocketAddr,
+    /// Where it is, as the configuration has it now, and where we asked last.
+    addr: watch::Receiver<SocketAddr>,
+    asked_at: SocketAddr,
     network: Rc<Network>,
     pool: Rc<Pool>,
     /// The module asks for the list; else it is watched all the time.
     wanted: Option<Rc<Notify>>,
     rng: ChaCha8Rng,
-    version: u64,
+    /// Of the list last had; none from where we ask now.
+    version: Option<u64>,
     link: Option<Link>,
     watching: bool,
 }
 
 impl Discovery {
     pub fn new(
-        addr: SocketAddr,
+        addr: watch::Receiver<SocketAddr>,
         network: Rc<Network>,
         pool: Rc<Pool>,
         wanted: Option<Rc<Notify>>,
         seed: u64,
     ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
-        Discovery { addr, network, pool, wanted, rng, version: 0, link: None, watching: false }
+        let asked_at = *addr.borrow();
+        Discovery { addr, asked_at, network, pool, wanted, rng, version: None, link: None, watching: false }
     }
 
     /// The list as it was last had.
@@ -119,20 +123,29 @@
 
     /// Watches for as long as calls go well; after a failure anew when the module asks, or after a wait.
     pub async fn watch(&mut self, desk: &Desk) {
-        let mut failures = 0;
+        let (mut failures, mut moves) = (0, self.addr.clone());
         if self.watching {
             // Started again in the midst of a watch, which the module takes to go on.
             desk.list(ListKind::Failed, Vec::new());
         }
         loop {
             if let Some(wanted) = &self.wanted {
-                wanted.notified().await;
+                tokio::select! {
+                    () = wanted.notified() => {}
+                    // What it has to tell there counts as told within seconds.
+                    Ok(()) = moves.changed() => {}
+                }
             }
             self.watching = true;
             // The next call comes at once, so that the watch goes on.
             let broken = loop {
                 let asked = Instant::now();
-                match self.call().await {
+                let called = tokio::select! {
+                    called = self.call() => called,
+                    // Danger: the old discovery would keep us waiting for what only the new one tells.
+                    Ok(()) = moves.changed() => continue,
+                };
+                match called {
                     Ok(listing) => {
                         failures = 0;
                         if listing.servers.is_empty() && asked.elapsed() < PACE {
@@ -153,13 +166,17 @@
             if self.wanted.is_none() {
                 let wait = (RETRY << u32::min(failures, RETRY_DOUBLINGS)) as f64;
                 failures += 1;
-                sleep(span((wait * self.rng.random_range(0.5..1.5)) as Micros)).await;
+                let wait = span((wait * self.rng.random_range(0.5..1.5)) as Micros);
+                // Where it has moved to, nothing has failed yet.
+                if let Ok(Ok(())) = timeout(wait, moves.changed()).await {
+                    failures = 0;
+                }
             }
         }
     }
 
     fn tell(&mut self, listing: &Listing, kind: ListKind, desk: &Desk) {
-        self.version = listing.version;
+        self.version = Some(listing.version);
         if kind != ListKind::Changes {
             self.pool.forget_missing(|node| listing.servers.iter().any(|line| *line.id == **node));
         }
@@ -190,17 +207,23 @@
     }
 
     async fn exchange(&mut self, progress: &Progress) -> Result<Bytes, Broken> {
+        let addr = *self.addr.borrow();
+        if std::mem::replace(&mut self.asked_at, addr) != addr {
+            // Danger: one discovery's versions may say nothing to another; the whole list is asked for.
+            (self.link, self.version) = (None, None);
+        }
         let open = match self.link.take() {
             Some(link) => link.ready().await,
             None => None,
         };
         let mut link = match open {
             Some(link) => link,
-            None => timeout(DIAL, Link::dial(self.addr, None))
+            None => timeout(DIAL, Link::dial(addr, None))
                 .await
                 .unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))?,
         };
-        let path = format!("/registry/instances?since={}&timeout_ms={}", self.version, WATCH.as_millis());
+        let since = |version| format!("?since={version}&timeout_ms={}", WATCH.as_millis());
+        let path = format!("/registry/instances{}", self.version.map_or_else(String::new, since));
         let mut request = Request::new(Full::new(Bytes::new()));
         let garbage = |words| progress.broken(Cause::Garbage(words));
         *request.uri_mut() = path.parse().map_err(|_| garbage(path))?;
--- a/crates/flintwell/src/main.rs
+++ b/crates/flintwell/src/main.rs
@@ -14,6 +14,7 @@
 mod log;
 mod peers;
 mod pool;
+mod reload;
 mod serve;
 mod shutdown;
 
@@ -48,7 +49,7 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Command::Serve { config } => config::read(&config).and_then(serve::serve),
+        Command::Serve { config } => config::read(&config).and_then(|read| serve::serve(read, config)),
         Command::Check { config } => config::read(&config).map(|config| println!("{config}")),
         Command::Version => {
             println!("flintwell {}", env!("CARGO_PKG_VERSION"));
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -9,14 +9,17 @@
 use crate::handoff::HandOffs;
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::reload;
 use crate::say;
 use crate::shutdown;
 use futures_util::FutureExt;
 use std::panic::AssertUnwindSafe;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Notify, Semaphore};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
@@ -32,13 +35,15 @@
     }
 }
 
-pub fn serve(config: Config) -> Result<(), String> {
+pub fn serve(config: Config, path: PathBuf) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run(config, path))
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run(config: Config, path: PathBuf) -> Result<(), String> {
+    // First, since until it is taken SIGHUP ends the process.
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     // An access holds a client's connection and one to a node at most: half of the room for each.
     let connections = (config.sockets - OWN_SOCKETS) / 2;
     let listener =
@@ -57,10 +62,13 @@
     let asked = config.settings.list_on_request.then(|| list_wanted.clone());
     let (clock, seed) = (Clock::start(), config.seed);
     let desk = Rc::new(Desk::new(clock, config.settings, seed, list_wanted, pool.clone(), peers.clone()));
-    let mut discovery = Discovery::new(config.discovery, network.clone(), pool.clone(), asked, seed);
+    let (moves, discovery_at) = watch::channel(config.discovery);
+    let mut discovery = Discovery::new(discovery_at, network.clone(), pool.clone(), asked, seed);
     discovery.start(&config.known, &desk);
     let watched = desk.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
+    let reloading = async move || reload::on_signal(&mut hangup, &path, &moves).await;
+    spawn_local(lasting("reload", reloading));
     let timed = desk.clone();
     spawn_local(lasting("timer", async move || timed.keep_time().await));
     let beating = desk.clone();
--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -153,6 +153,8 @@
 struct Proxy {
     child: Child,
     addr: SocketAddr,
+    /// Its configuration, until it ends.
+    file: std::path::PathBuf,
 }
 
 /// Runs the program on a configuration of this text.
@@ -179,8 +181,7 @@
         log.read_line(&mut line).expect("a line");
         let addr = line.trim().rsplit(' ').next().and_then(|addr| addr.parse().ok()).expect("its address");
         keep(log);
-        std::fs::remove_file(path).expect("the file");
-        Proxy { child, addr }
+        Proxy { child, addr, file: path }
     }
     fn client(&self) -> Client {
         let stream = TcpStream::connect(self.addr).expect("a connection");
@@ -197,6 +198,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -571,10 +573,9 @@
     while log.write(&[b'.'; 4_096]).is_ok() {}
     log.set_nonblocking(false).expect("to set");
     let (child, path) = run(&["serve", "--config"], &config.to_string(), Stdio::from(OwnedFd::from(log)));
-    let proxy = Proxy { child, addr };
+    let proxy = Proxy { child, addr, file: path };
     soon("it listens", || TcpStream::connect(addr).is_ok());
     assert_eq!(proxy.client().ask("read", "k").status(), 200);
-    std::fs::remove_file(path).expect("the file");
 }
 
 #[test]
@@ -600,6 +601,31 @@
     assert_eq!(Proxy::start(&config).client().ask("read", "k").status(), 200);
 }
 
+#[test]
+fn a_new_configuration_moves_the_watch_and_keeps_the_accesses() {
+    let (cache, origin) = (misses(), Server::start(|_, _| Does::Waits(Duration::from_millis(300), "value")));
+    let drains = entry("o", origin.addr, "origin", "draining");
+    let list: &'static str = format!(r#"{{"version":1,"full":true,"servers":[{drains}]}}"#).leak();
+    let moved =
+        Server::start(move |_, number| if number == 0 { Does::Answers(200, list) } else { Does::Hangs });
+    let mut config = config(cache.addr, origin.addr);
+    let proxy = Proxy::start(&config);
+    let mut client = proxy.client();
+    client.begin("once", "k1");
+    soon("sent", || origin.heard().len() == 1);
+    std::fs::write(&proxy.file, "{").expect("a file");
+    proxy.signal("-HUP");
+    config["discovery"] = json!(moved.addr.to_string());
+    thread::sleep(Duration::from_millis(100));
+    std::fs::write(&proxy.file, config.to_string()).expect("a file");
+    proxy.signal("-HUP");
+    soon("watched there", || moved.heard().len() == 2);
+    let asked: Vec<String> = moved.heard().into_iter().map(|message| message.first).collect();
+    assert!(!asked[0].contains("since") && asked[1].contains("since=1&"), "{asked:?}");
+    assert_eq!(client.read().expect("an answer").status(), 200, "what was in hand is answered");
+    assert_eq!(client.ask("once", "k2").status(), 503, "by the list told there, on the old connection");
+}
+
 /// A message with some of its bytes replaced, doubled or cut off.
 fn garbled(chance: &mut ChaCha8Rng, message: &str) -> Vec<u8> {
     let mut bytes = message.as_bytes().to_vec();
