A read that finds home and spare busy is fetched while the origin has room

Ruled out: sockets (0.2 ms each way, nothing refused there), the origin (no strain), admit (a consequence: each such give-up is felt as twice the goal time and shut it to 0.2). At fault: choose's error told only whether caches are there; with both busy, ask_cache gave up. Now it tells whether the origin may stand in, within the learned limit on fetches as ever.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -287,11 +287,10 @@
         self.choose(now, self.accesses.get(id)?).ok().map(|n| &self.nodes[n])
     }
 
-    /// The home, or the spare when the home has more than its part of our own accesses in flight. `Err` tells
-    /// whether caches that take the key are there at all.
+    /// The home, or the spare when the home has more than its part of our own accesses in flight. An
+    /// error of false: the origin may stand in for them, as none takes the key at all or the origin has room.
     fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
-        // Danger: past home and spare nobody holds the key, and the spare may not; in a burst each
-        // refusal would become a fetch, and with no room at the origin a turn-back.
+        // Danger: the spare may lack the key; with no room at the origin its miss would become a turn-back.
         let room = self.origin.node.is_none_or(|o| self.origin_has_room(now, o, false));
         // Danger: hundreds of proxies each have none of their own in flight at a hot key's home, which all
         // crowd together. What we asked lately stands for it: such a key's reads take turns at more ranks.
@@ -321,7 +320,8 @@
                 || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.time.mean;
             !access.tried(n) && now >= node.full_until && (node.time.mean < bearable || tries())
         });
-        let home = open.next().ok_or(!there.is_empty())?;
+        // Danger: what finds two busy nodes is lost to a moment's crowd while an idle origin could answer it.
+        let home = open.next().ok_or(!there.is_empty() && !room)?;
         let load = self.nodes[home].in_flight;
         let mean = f64::from(self.caches.in_flight) / self.caches.ready.max(1) as f64;
         if load < SPILL_FLOOR || f64::from(load) <= SPILL_FACTOR * mean {
