Bad clients are answered or closed within 3 s, and the silent are closed before the used

Checked: a probe logged what nodes answered with 400: half were PUTs with Transfer-Encoding and an empty body, that is, a length beside it that hyper takes out of the head before the service sees it (role.rs), the rest reads with another's id. At fault: decode.rs (BODY_WITHIN, no look at Transfer-Encoding, first of two headers taken), accept.rs (HEAD_WITHIN, FRESH, order of closing). Now: heads 1.5 s, bodies 1.3 s, chunked bodies 411, doubled headers 400, close after what is malformed; at the limit first what has said nothing for 50 ms, then the longest idle; idle ones are closed after 10 s, not 60. Tests: clients_that_say_nothing_..., more cases in a_malformed_access_...

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -13,9 +13,12 @@
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
@@ -23,8 +26,10 @@
 use tower_http::catch_panic::CatchPanicLayer;
 
 const BACKLOG: u32 = 1_024; // connections; those waiting while accept pauses at the limit
-const HEAD_WITHIN: Duration = Duration::from_secs(60); // a connection with no access for this long is closed
-const FRESH: Duration = Duration::from_secs(1); // for which a new connection is kept, whoever waits
+const IDLE_MOST: Duration = Duration::from_secs(10); // a connection with no access for this long is closed
+const HEAD_WITHIN: Duration = Duration::from_millis(1_500); // from a connection's start, or a head's, to its end
+const FRESH: Duration = Duration::from_millis(50); // for which a new connection is kept, whoever waits
+const USED: Duration = Duration::from_secs(1); // the same after an access, while there are new ones to close
 const CLOSE_EVERY: Duration = Duration::from_millis(10); // idle ones, one by one, while room is wanted
 const HEAD_ENDS: Duration = Duration::from_millis(250); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
@@ -39,51 +44,108 @@
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
 }
 
-/// When an idle connection may be closed, and its turn.
-type Place = (Instant, u64);
+/// Whether an access has ended on an idle connection, when it may be closed, and its turn.
+type Place = (bool, Instant, u64);
 
 /// One client's connection.
 struct Client {
     clients: Rc<Clients>,
     /// Its place among the idle, while it is.
     idle: Cell<Option<Place>>,
+    /// Since when it owes us the end of a head.
+    owes: Cell<Option<Instant>>,
     close: Rc<Notify>,
 }
 
 impl Clients {
     fn enter(self: &Rc<Self>) -> Rc<Client> {
-        let client = Client { clients: self.clone(), idle: Cell::default(), close: Rc::default() };
+        let owes = Cell::new(Some(Instant::now()));
+        let client = Client { clients: self.clone(), idle: Cell::default(), owes, close: Rc::default() };
         // Danger: a fresh connection's first access may be on the way, and the next one's too.
-        client.idles(FRESH);
+        client.idles(false, FRESH);
         Rc::new(client)
     }
 
     /// Room for one more. Danger: clients that keep idle connections would leave none for those whose
-    /// accesses wait in the backlog, and those would be lost.
+    /// accesses wait in the backlog, and those would be lost; and hundreds that connect and say nothing would
+    /// push out those that are used. So what has said nothing goes first, then what has stood idle longest.
     async fn make_room(&self, room: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         let mut permit = std::pin::pin!(room.clone().acquire_owned());
         loop {
+            if room.available_permits() == 0 {
+                let (now, mut idle) = (Instant::now(), self.idle.borrow_mut());
+                let due = idle.keys().find(|place| place.1 <= now);
+                let longest = due.or(idle.keys().next().filter(|place| place.0)).copied();
+                longest.and_then(|place| idle.remove(&place)).inspect(|close| close.notify_one());
+            }
             if let Ok(permit) = timeout(CLOSE_EVERY, permit.as_mut()).await {
                 return permit.ok();
             }
-            let mut idle = self.idle.borrow_mut();
-            if let Some(longest) = idle.first_entry().filter(|first| first.key().0 <= Instant::now()) {
-                longest.remove().notify_one();
-            }
         }
     }
 }
 
 impl Client {
     fn busy(&self) {
+        self.owes.set(None);
         self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
     }
-    fn idles(&self, kept_for: Duration) {
-        let place = (Instant::now() + kept_for, self.clients.turn.get());
-        self.clients.turn.set(place.1 + 1);
+    fn idles(&self, used: bool, kept_for: Duration) {
+        let place = (used, Instant::now() + kept_for, self.clients.turn.get());
+        self.clients.turn.set(place.2 + 1);
         self.clients.idle.borrow_mut().insert(place, self.close.clone());
         self.idle.set(Some(place));
     }
+    /// Ends once the end of a head is overdue. Danger: a connection that says nothing, or begins a head and
+    /// never ends it, would be kept for as long as one that is used.
+    async fn head_overdue(&self) {
+        loop {
+            let owes = self.owes.get();
+            let left = owes.map_or(HEAD_WITHIN, |since| HEAD_WITHIN.saturating_sub(since.elapsed()));
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
+}
+
+/// A client's stream, which tells when a head begins.
+struct Heard {
+    stream: TcpStream,
+    client: Rc<Client>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let idle = self.client.idle.get().is_some() && self.client.owes.get().is_none();
+        if idle && buf.filled().len() > before {
+            self.client.owes.set(Some(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
 }
 
 impl Drop for Client {
@@ -152,7 +214,7 @@
                 let client = client.clone();
                 async move {
                     let answer = answer.await;
-                    client.idles(Duration::ZERO);
+                    client.idles(true, USED);
                     answer
                 }
             }
@@ -160,19 +222,20 @@
         .layer(CatchPanicLayer::custom(panicked))
         .service(front);
     let mut http = http1::Builder::new();
-    http.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(BUFFER);
+    http.timer(TokioTimer::new()).header_read_timeout(IDLE_MOST).max_buf_size(BUFFER);
     tokio::task::spawn_local(async move {
         let _permit = permit;
         if let Err(error) = stream.set_nodelay(true) {
             say!("a client's connection: {error}");
         }
-        let mut connection =
-            std::pin::pin!(http.serve_connection(TokioIo::new(stream), TowerToHyperService::new(stack)));
+        let heard = TokioIo::new(Heard { stream, client: client.clone() });
+        let mut connection = std::pin::pin!(http.serve_connection(heard, TowerToHyperService::new(stack)));
         // Whether a client's connection ended well or badly, the access on it was told by its seat.
         tokio::select! {
             // First, so that an access that has come is read before its connection counts as idle.
             biased;
             _ = connection.as_mut() => return,
+            () = client.head_overdue() => return,
             () = client.close.notified() => connection.as_mut().graceful_shutdown(),
             () = idle_closed => connection.as_mut().graceful_shutdown(),
         }
--- a/crates/flintwell/src/answer.rs
+++ b/crates/flintwell/src/answer.rs
@@ -21,6 +21,8 @@
 
 impl Answer {
     pub fn encode(self, last: bool) -> Response<Full<Bytes>> {
+        // Danger: behind what is malformed, what comes next may be no message of its own.
+        let last = last || matches!(self, Answer::Malformed(_));
         let (status, body) = match &self {
             Answer::Honoured(body) => (StatusCode::OK, body.clone()),
             Answer::TurnedBack { .. } => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
@@ -50,6 +52,7 @@
         Malformed::Header(name) => {
             (StatusCode::BAD_REQUEST, format!("header {name}: missing or not understood\n"))
         }
+        Malformed::Unmeasured => (StatusCode::LENGTH_REQUIRED, "a body comes with its length\n".into()),
         Malformed::BodyTooLong => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long\n".into()),
         Malformed::BodyBroken => (StatusCode::BAD_REQUEST, "the body is not whole\n".into()),
         Malformed::BodyLate => (StatusCode::REQUEST_TIMEOUT, "the body came too late\n".into()),
--- a/crates/flintwell/src/decode.rs
+++ b/crates/flintwell/src/decode.rs
@@ -5,14 +5,15 @@
 use flintwell_settings::Network;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue};
+use hyper::header::{HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use std::time::Duration;
 use tokio::time::timeout;
 
 pub const BODY_MOST: usize = 65_536; // bytes; the protocol's limit on a body
-const BODY_WITHIN: Duration = Duration::from_secs(10); // a client that takes longer to send its body is cut
+const BODY_WITHIN: Duration = Duration::from_millis(1_300); // more than outer limits leave an access that answers
+const ONCE: [&str; 5] = ["host", "x-request-id", "x-class", "x-deadline", "idempotency-key"]; // headers
 const MARGIN: Micros = 10_000; // us; the way back to the client, and the turn of our one core
 const LIMIT_MOST: f64 = 3_600.0; // s; a longer outer limit is no client's
 
@@ -37,6 +38,7 @@
 pub enum Malformed {
     Method,
     Header(&'static str),
+    Unmeasured,
     BodyTooLong,
     BodyBroken,
     BodyLate,
@@ -45,6 +47,11 @@
 impl Access {
     pub async fn decode(request: Request<Incoming>, network: &Network) -> Result<Self, Malformed> {
         let (head, body) = request.into_parts();
+        // Danger: a length beside a transfer encoding hides another access in the body, and is taken out of
+        // the head before we see it. So a body comes with its length, and in no other way.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(Malformed::Unmeasured);
+        }
         let body = match timeout(BODY_WITHIN, Limited::new(body, BODY_MOST).collect()).await {
             Err(_) => return Err(Malformed::BodyLate),
             Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Malformed::BodyTooLong),
@@ -59,6 +66,10 @@
         if method != Method::GET && method != Method::PUT {
             return Err(Malformed::Method);
         }
+        // Danger: a node may go by the other one of two.
+        if let Some(name) = ONCE.into_iter().find(|name| headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err(Malformed::Header(name));
+        }
         let text = |name: &'static str| {
             let text = headers.get(name).map(|value| value.to_str().map(str::trim));
             text.transpose().map_err(|_| Malformed::Header(name))
--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -364,6 +364,12 @@
         ("GET", "X-Request-Id: i\r\nX-Class: read\r\n\r\n", 400),
         ("GET", "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: NaN\r\n\r\n", 400),
         ("GET", "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: -1\r\n\r\n", 400),
+        ("GET", &format!("{good}X-Request-Id: j\r\n\r\n"), 400),
+        // What hides another access in its body, either way round, and a length that is none.
+        ("PUT", &format!("{good}Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /"), 411),
+        ("PUT", &format!("{good}Transfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n0\r\n\r\nGET /"), 411),
+        ("PUT", &format!("{good}Content-Length: -1\r\n\r\n"), 400),
+        ("PUT", &format!("{good}Content-Length: 9\r\n\r\nshort"), 408),
         ("DELETE", &format!("{good}\r\n"), 405),
         ("PUT", &huge, 413),
         ("G\u{1}T", "\r\n", 400),
@@ -373,11 +379,28 @@
         let _ =
             client.0.get_mut().write_all(format!("{method} /api/k HTTP/1.1\r\nHost: h\r\n{rest}").as_bytes());
         assert_eq!(client.read().expect("an answer").status(), status, "{method} {rest:.60}");
+        assert!(client.read().is_none(), "and closed: {method} {rest:.60}");
     }
     assert!(cache.heard().is_empty() && origin.heard().is_empty());
     assert_eq!(proxy.client().ask("read", "k").status(), 200);
 }
 
+#[test]
+fn clients_that_say_nothing_or_half_a_head_are_closed_soon_and_crowd_nobody_out() {
+    let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    let (start, mut used) = (Instant::now(), proxy.client());
+    assert_eq!(used.ask("read", "k1").status(), 200);
+    let mut silent: Vec<Client> = (0..60).map(|_| proxy.client()).collect();
+    silent.iter_mut().step_by(2).for_each(|client| client.send("GET /api/k HTTP/1.1\r\nHost:"));
+    assert_eq!(proxy.client().ask("read", "k2").status(), 200);
+    assert!(start.elapsed() < Duration::from_millis(2_500), "{:?}", start.elapsed());
+    assert_eq!(used.ask("read", "k3").status(), 200, "what is used is kept");
+    assert!(silent.iter_mut().all(|client| client.read().is_none()));
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
+}
+
 #[test]
 fn garbage_from_peers_harms_nothing() {
     let place = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port");
