A node is passed over by what it takes above its least, not by the way to it

Seen: beside bad clients and nodes 12 to 48 of 340 accesses a second still find no cache open though nodes are idle (in flight 0 or 1, few refusals), and go to the origin or are turned back once that has no room. Checked by the probe: nodes of other zones answer in 30 to 40 ms, of which the way takes 11 to 20; bearable is 0.22 of a goal time of 139 ms, 30 ms. Ruled out: the nodes' own load (the near ones with the same work answer in 10 to 20 ms). At fault: choose compared the mean answer time itself. Test: a_node_far_away_is_not_taken_for_a_crowded_one.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -29,7 +29,7 @@
 const ESTIMATE_AGE: f64 = 5_000_000.0; // us; from then on one new answer counts more than all before it
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
 const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
-const BEARABLE: f64 = 0.22; // of an access's goal time; a node that takes longer on the mean is passed over
+const BEARABLE: f64 = 0.22; // of its goal time; a node that takes so much over its least is passed over
 const FULL_USED: f64 = 0.7; // of the goal time; what a refusal counts for: the spare may still answer in time
 const FULL_SHARE: f64 = 0.3; // of the mean answer time; a full node is passed over while a place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
@@ -314,11 +314,12 @@
         let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
         let mut open = there.iter().copied().filter(|&n| {
             let node = &self.nodes[n];
+            // Danger: by the way to another zone alone an idle node seems crowded. Hundreds know no least.
+            let slow = node.time.mean - if self.caches.few { 0.0 } else { node.least };
             // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out,
             // of hundreds only as many as its time allows.
-            let tries =
-                || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / node.time.mean;
-            !access.tried(n) && now >= node.full_until && (node.time.mean < bearable || tries())
+            let tries = || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / slow;
+            !access.tried(n) && now >= node.full_until && (slow < bearable || tries())
         });
         // Danger: what finds two busy nodes is lost to a moment's crowd while an idle origin could answer it.
         let home = open.next().ok_or(!there.is_empty() && !room)?;
@@ -608,6 +609,7 @@
         node.goal_used.learn(now, used, NODE_SMOOTHING, age);
         if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
             node.time.learn(now, wait as f64, NODE_SMOOTHING, age);
+            node.learn_least(wait as f64, BEST_DRIFT);
             self.caches.times.learn(wait, SMOOTHING);
         }
         if outcome.ending != Ending::Full || !self.caches.few {
@@ -619,15 +621,12 @@
     fn feel(&mut self, now: Micros, used: f64) {
         // Danger: one that admits little hears little; by old answers alone it would stay shut for long.
         self.caches.goal_used.learn(now, used, SMOOTHING, ESTIMATE_AGE);
-        for (share, most) in [(&mut self.caches.admit, CROWDED), (&mut self.caches.surplus, CROWDED_SURPLUS)]
-        {
+        let caches = &mut self.caches;
+        for (share, most) in [(&mut caches.admit, CROWDED), (&mut caches.surplus, CROWDED_SURPLUS)] {
             let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
-            let fallen = share.now * ADMIT_FALL.powf(steps);
-            let next =
-                if self.caches.goal_used.mean > most { fallen } else { share.now + ADMIT_RISE * steps };
-            if steps > 0.0 {
-                *share = Share { now: next.clamp(ADMIT_LEAST, 1.0), at: now };
-            }
+            let (fall, rise) =
+                if caches.goal_used.mean > most { (ADMIT_FALL, 0.0) } else { (1.0, ADMIT_RISE) };
+            share.step(now, steps, fall, rise, ADMIT_LEAST);
         }
     }
 
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -136,12 +136,19 @@
     /// Its answer time, and the share of their goal time that its answers use up.
     pub time: Mean,
     pub goal_used: Mean,
+    /// The least answer time lately: the way there, and little else.
+    pub least: f64,
     /// Sent to it lately.
     pub sent: Pace,
     pub id_hash: u64,
 }
 
 impl Node {
+    /// An old least is forgotten by and by.
+    pub fn learn_least(&mut self, wait: f64, drift: f64) {
+        let wait = wait.max(1.0);
+        self.least = if self.least > 0.0 { wait.min(self.least * drift) } else { wait };
+    }
     /// Share of its capacity that it surely has.
     pub fn warmth(&self, now: Micros, start: f64, ramp: Micros) -> f64 {
         let age = (now - self.entry.started_at).max(0) as f64 / ramp.max(1) as f64;
@@ -222,6 +229,15 @@
     pub at: Micros,
 }
 
+impl Share {
+    /// Down by factors or up by addends, as many as the steps.
+    pub fn step(&mut self, now: Micros, steps: f64, fall: f64, rise: f64, least: f64) {
+        if steps > 0.0 {
+            *self = Share { now: (self.now * fall.powf(steps) + rise * steps).clamp(least, 1.0), at: now };
+        }
+    }
+}
+
 /// What is known of the origin.
 #[derive(Default)]
 pub(crate) struct Origin {
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -223,6 +223,18 @@
     assert_ne!(play.node_of(&two), slow);
 }
 
+/// The way to another zone alone, most of a short goal time, made idle nodes pass for crowded.
+#[test]
+fn a_node_far_away_is_not_taken_for_a_crowded_one() {
+    let mut play = Play::new(settings(), 2);
+    for n in 0..40 {
+        let pair = [(); 2].map(|()| play.arrive(0, "k", false));
+        assert!(pair.iter().all(|id| play.node_of(id).is_some_and(|node| node != origin())), "at {n}");
+        play.pass(150 * MS);
+        pair.iter().for_each(|id| play.end(id, Ending::Honoured));
+    }
+}
+
 fn hundreds() -> Settings {
     Settings { fleet_size: 400, index: 123, ..settings() }
 }
