Clients that ask once and stay make room at once; idle times that nodes cut short are found

Cause: accept. A probe of the module showed 56 to 128 of 340 arrivals a second, many called off at once (they had waited in the backlog past their time); a probe of make_room showed 176 places, 175 idle after an access, and 2,400 turns in which nothing was closed, as one fresh silent connection was waited for. Now the oldest used one makes room while a quarter of those open are idle after an access. Tests: clients_that_ask_once_and_stay_..., idle_times_that_nodes_cut_short_... Simulated cache nodes, loopback.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -29,7 +29,8 @@
 const IDLE_MOST: Duration = Duration::from_secs(10); // a connection with no access for this long is closed
 const HEAD_WITHIN: Duration = Duration::from_millis(1_500); // from a connection's start, or a head's, to its end
 const FRESH: Duration = Duration::from_millis(50); // for which a new connection is kept, whoever waits
-const USED: Duration = Duration::from_secs(1); // the same after an access, while there are new ones to close
+const USED: Duration = Duration::from_secs(1); // the same after an access, while few are such
+const USED_SHARE: usize = 4; // one in so many open ones idle after an access is many
 const CLOSE_EVERY: Duration = Duration::from_millis(10); // idle ones, one by one, while room is wanted
 const HEAD_ENDS: Duration = Duration::from_millis(250); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
@@ -41,6 +42,7 @@
 #[derive(Default)]
 struct Clients {
     turn: Cell<u64>,
+    open: Cell<usize>,
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
 }
 
@@ -59,6 +61,7 @@
 
 impl Clients {
     fn enter(self: &Rc<Self>) -> Rc<Client> {
+        self.open.set(self.open.get() + 1);
         let owes = Cell::new(Some(Instant::now()));
         let client = Client { clients: self.clone(), idle: Cell::default(), owes, close: Rc::default() };
         // Danger: a fresh connection's first access may be on the way, and the next one's too.
@@ -75,7 +78,12 @@
             if room.available_permits() == 0 {
                 let (now, mut idle) = (Instant::now(), self.idle.borrow_mut());
                 let due = idle.keys().find(|place| place.1 <= now);
-                let longest = due.or(idle.keys().next().filter(|place| place.0)).copied();
+                // Danger: where each access comes on a connection of its own, to wait for the few new ones
+                // that have said nothing yet would leave the rest in the backlog past their time.
+                let silent = idle.keys().take_while(|place| !place.0).count();
+                let used =
+                    idle.keys().nth(silent).filter(|_| (idle.len() - silent) * USED_SHARE >= self.open.get());
+                let longest = due.or(used).copied();
                 longest.and_then(|place| idle.remove(&place)).inspect(|close| close.notify_one());
             }
             if let Ok(permit) = timeout(CLOSE_EVERY, permit.as_mut()).await {
@@ -151,6 +159,7 @@
 impl Drop for Client {
     fn drop(&mut self) {
         self.busy();
+        self.clients.open.set(self.clients.open.get() - 1);
     }
 }
 
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -72,7 +72,10 @@
 
 async fn send(pool: &Pool, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
     let mut link = open(pool, &hand_off.node).await?;
-    let reply = link.exchange(message(hand_off), BODY_MOST, progress).await?;
+    let idle = link.idle_since.elapsed();
+    let reply = link.exchange(message(hand_off), BODY_MOST, progress).await;
+    pool.used_after(idle, reply.as_ref().is_err_and(|broken| broken.ending() == Ending::Reset));
+    let reply = reply?;
     pool.give_back(&hand_off.node, link);
     Ok(answered(reply))
 }
--- a/crates/flintwell/src/pool.rs
+++ b/crates/flintwell/src/pool.rs
@@ -3,7 +3,7 @@
 use crate::clock::span;
 use crate::link::{Broken, Cause, Link};
 use flintwell_core::interface::{Micros, NodeId};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +13,10 @@
 use tokio::time::timeout;
 
 const IDLE_SHARE: f64 = 0.85; // of the node's limit; else accesses are written to closed ones
+const IDLE_LEAST: Duration = Duration::from_millis(20); // idle for less, a reset says nothing of idleness
+const IDLE_REACH: u32 = 4; // times its idle time that a connection used tells of
+const IDLE_FALL: f64 = 0.7; // factor on the limit at a reset; with the next, it falls from one in five on
+const IDLE_RISE: f64 = 1.1; // factor at an answer on a connection that stood idle for some of the limit
 const ROOM_WITHIN: Duration = Duration::from_millis(20); // for a closed connection to end, or a hand-off to
 const SWEEPS: u32 = 10; // looks at idle connections in that time, so that they come well within the margin
 
@@ -29,15 +33,19 @@
     room: Arc<Semaphore>,
     dial_within: Duration,
     idle_most: Duration,
+    /// How long a connection may stand idle, as far as the nodes let us see.
+    idle_limit: Cell<Duration>,
 }
 
 impl Pool {
     pub fn new(connections: usize, dial_within: Micros, idle_most: Micros) -> Rc<Self> {
+        let idle_most = span(idle_most).mul_f64(IDLE_SHARE);
         Rc::new(Pool {
             nodes: RefCell::default(),
             room: Arc::new(Semaphore::new(connections)),
             dial_within: span(dial_within),
-            idle_most: span(idle_most).mul_f64(IDLE_SHARE),
+            idle_most,
+            idle_limit: Cell::new(idle_most),
         })
     }
 
@@ -79,7 +87,20 @@
     }
 
     fn fresh(&self, link: &Link) -> bool {
-        !link.closed() && link.idle_since.elapsed() < self.idle_most
+        !link.closed() && link.idle_since.elapsed() < self.idle_limit.get()
+    }
+
+    /// What became of an exchange on a connection that had been idle. Danger: nodes, or what stands between,
+    /// that drop idle connections sooner than agreed break off every access written to one.
+    pub fn used_after(&self, idle: Duration, reset: bool) {
+        let (reach, limit) = (idle * IDLE_REACH, self.idle_limit.get());
+        let limit = match reset {
+            _ if idle < IDLE_LEAST => return,
+            true => limit.min(reach).mul_f64(IDLE_FALL).max(IDLE_LEAST),
+            false if reach > limit => limit.mul_f64(IDLE_RISE).min(self.idle_most),
+            false => return,
+        };
+        self.idle_limit.set(limit);
     }
 
     pub async fn dial(&self, node: &NodeId) -> Result<Link, Broken> {
@@ -127,3 +148,27 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn idle_times_that_nodes_cut_short_are_found_and_single_resets_are_forgotten() {
+        let pool = Pool::new(1, 1, 10_000_000);
+        let use_at = |idle: u64, reset| pool.used_after(Duration::from_millis(idle), reset);
+        let limit = || pool.idle_limit.get().as_millis();
+        for n in 0..200 {
+            let idle = n * 37 % 400;
+            // As it does, only what is within the limit is used.
+            if u128::from(idle) < limit() {
+                use_at(idle, idle > 100);
+            }
+        }
+        assert!((50..250).contains(&limit()), "{}", limit());
+        for n in 0..400 {
+            use_at(limit() as u64 * 3 / 4, n % 15 == 0);
+        }
+        assert_eq!(limit(), 8_500, "one in fifteen is no sign");
+    }
+}
--- a/crates/flintwell/tests/sockets.rs
+++ b/crates/flintwell/tests/sockets.rs
@@ -408,6 +408,22 @@
     assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
 }
 
+#[test]
+fn clients_that_ask_once_and_stay_keep_nobody_waiting() {
+    let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
+    config["limits"]["sockets"] = json!(64);
+    let proxy = Proxy::start(&config);
+    let start = Instant::now();
+    let asked = (0..120).map(|n| {
+        let (silent, mut client) = (proxy.client(), proxy.client());
+        assert_eq!(client.ask("read", &format!("k{n}")).status(), 200);
+        (client, (n % 4 == 0).then_some(silent))
+    });
+    let stay: Vec<_> = asked.collect();
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+    drop(stay);
+}
+
 #[test]
 fn garbage_from_peers_harms_nothing() {
     let place = UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("a port");
