--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -15,7 +15,7 @@
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -153,7 +153,9 @@
 /// An open connection; dropping it closes it.
 pub struct Link {
     sender: SendRequest<Full<Bytes>>,
-    stream: Rc<TcpStream>,
+    /// The driver's. Danger: a share in it would hold the descriptor of a closed connection whose room is
+    /// given back already.
+    stream: Weak<TcpStream>,
     written: Rc<Cell<u64>>,
     driver: AbortHandle,
     pub idle_since: Instant,
@@ -166,7 +168,8 @@
         let stream = TcpStream::connect(addr).await.map_err(|e| closed(&e))?;
         stream.set_nodelay(true).map_err(|e| closed(&e))?;
         let (stream, written) = (Rc::new(stream), Rc::new(Cell::new(0)));
-        let counted = Counted { stream: stream.clone(), written: written.clone() };
+        let shared = Rc::downgrade(&stream);
+        let counted = Counted { stream, written: written.clone() };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER)
             .handshake(TokioIo::new(counted))
@@ -177,7 +180,13 @@
             let _ = connection.await;
             drop(permit);
         });
-        Ok(Link { sender, stream, written, driver: driver.abort_handle(), idle_since: Instant::now() })
+        Ok(Link {
+            sender,
+            stream: shared,
+            written,
+            driver: driver.abort_handle(),
+            idle_since: Instant::now(),
+        })
     }
 
     /// Itself, if another exchange can go out on it.
@@ -185,7 +194,7 @@
         self.sender.ready().await.ok()?;
         // Danger: what a node has sent behind its last answer would be read as the answer to the next access;
         // and one that has closed its end takes nothing more.
-        let waiting = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let waiting = SockRef::from(&*self.stream.upgrade()?).peek(&mut [MaybeUninit::uninit()]);
         waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock).then_some(self)
     }
 
