What the origin refuses is asked again in a moment; single refusals are no strain

Lines at fault: outcome gave up at the first refusal of the origin; learn_origin cut a limit by 0.8 for each answer time of silence at a single one, which leaves one of a hundred a fetch a second. Now it asks again after half a mean answer time, and only above three tenths refused (it is sent about half again what it can do, far under what stops it) are they strain.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -39,6 +39,8 @@
 const FETCHES_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out; many share a weak origin
 const FETCHES_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
+const REFUSES: f64 = 0.3; // share of fetches refused lately; above it the origin is sent half again what it can
+const PAUSE: f64 = 0.5; // of the origin's mean answer time; before a fetch refused for a moment is made again
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
 const NOT_TAKEN: f64 = 2.0; // of its goal time; what an access counts for that no cache took
@@ -155,6 +157,7 @@
                 Ending::Miss => self.missed(now, id, node),
                 // Danger: an origin at its limit would be asked again by all; a spoilt answer tells of none.
                 Ending::Spoilt | Ending::Reset if Some(node) == self.origin.node => self.fetch(now, id),
+                Ending::Full if Some(node) == self.origin.node => self.fetch_again(now, id),
                 _ if Some(node) == self.origin.node => self.give_up(now, id),
                 _ => self.ask_cache(now, id),
             }
@@ -275,8 +278,8 @@
         // In an overload warm nodes are sent too much, and misses cost little: what they took counts.
         let lately = |pace: &Pace| pace.now(now, self.settings.fall);
         let (taken, sent) = (lately(&self.caches.taken), lately(&self.caches.sent));
-        // Danger: by what thirty warm ones could not take, thirty cold ones of a large fleet stood idle. There
-        // they get first choices only, and nothing that others refused: in step with arrivals, not refusals.
+        // Danger: by what warm ones could not take, as many cold ones of a large fleet stood idle. There they
+        // get first choices only, and nothing that others refused: in step with arrivals, not refusals.
         let part = warmth * if self.caches.few { 1.0 } else { (taken / sent.max(1.0)).min(1.0) };
         if unit(mix(node.id_hash ^ lot)) > part || fresh && !turn {
             return false;
@@ -440,6 +443,17 @@
         self.hold(id, Role::Queued, until - expected);
     }
 
+    /// Danger: an origin that is full for a moment cost each access it refused, though it had room soon after.
+    /// One that refuses many is left alone. The pause differs, so that those refused together come apart.
+    fn fetch_again(&mut self, now: Micros, id: &AccessId) {
+        let pause = (self.origin.times.mean * PAUSE * self.rng.random_range(0.5..1.5)) as Micros;
+        let until = self.accesses.get(id).map_or(0, |access| access.useful_until);
+        if self.origin.refused.mean > REFUSES || now + pause + self.origin.times.expected() > until {
+            return self.give_up(now, id);
+        }
+        self.hold(id, Role::Pausing, now + pause);
+    }
+
     fn fetch_queued(&mut self, now: Micros) {
         while let (Some(origin), Some(id)) = (self.origin.node, self.origin.queue.front().cloned()) {
             let queued = self.accesses.get(&id).filter(|a| a.role == Role::Queued).map(|a| a.write);
@@ -559,7 +573,7 @@
     fn upkeep(&mut self, now: Micros) {
         while let Some(id) = self.accesses.due(now) {
             match self.accesses.unhold(&id) {
-                Role::Following => self.alone(now, &id),
+                Role::Following | Role::Pausing => self.alone(now, &id),
                 _ => self.give_up(now, &id),
             }
         }
@@ -645,10 +659,15 @@
             self.origin.times.learn(outcome.wait, SMOOTHING);
             self.origin.best = (self.origin.best * BEST_DRIFT).min(self.origin.times.mean);
         }
+        let refused = outcome.ending == Ending::Full;
+        if refused || outcome.ending == Ending::Honoured {
+            self.origin.refused.learn(now, f64::from(u8::from(refused)), NODE_SMOOTHING, f64::INFINITY);
+        }
         let strained = match outcome.ending {
             Ending::Honoured => self.origin.times.mean > FETCH_SLOW * self.origin.best,
             Ending::Miss | Ending::CalledOff | Ending::NotSent | Ending::Spoilt | Ending::Unknown => return,
-            ending => struck || ending == Ending::Full,
+            // Danger: single refusals come by chance, and each cut one of a hundred down to a fetch a second.
+            ending => struck || ending == Ending::Full && self.origin.refused.mean > REFUSES,
         };
         // Danger: one of hundreds, with a fetch a second, would take half a minute to cut its limit.
         let cuts = self.origin.silence(now).clamp(1, STEPS_MOST) as i32;
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -20,6 +20,8 @@
     Following,
     /// In the queue before the origin.
     Queued,
+    /// Refused by the origin; it asks again in a moment.
+    Pausing,
 }
 
 /// One access, until its final answer.
@@ -299,6 +301,8 @@
     /// Fetches that may be out at once; under one they are spaced out.
     pub most: f64,
     pub cut_at: Micros,
+    /// Share of the fetches and writes that it refused.
+    pub refused: Mean,
     pub after: Micros,
     pub queue: VecDeque<AccessId>,
 }
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -126,6 +126,35 @@
     assert!(play.node_of(&later).is_some());
 }
 
+/// Single refusals of an origin that was full for a moment cost an access each and cut the limit to nothing.
+#[test]
+fn what_the_origin_refuses_in_a_moment_is_asked_again_unless_it_refuses_many() {
+    let mut play = Play::new(settings(), 6);
+    let missed = |play: &mut Play, n: usize| {
+        let id = play.arrive(0, &format!("k{n}"), false);
+        play.end(&id, Ending::Miss);
+        id
+    };
+    for n in 0..8 {
+        let id = missed(&mut play, n);
+        play.pass(60 * MS);
+        play.end(&id, Ending::Honoured);
+    }
+    let id = missed(&mut play, 100);
+    play.end(&id, Ending::Full);
+    let other = missed(&mut play, 101);
+    assert_eq!((play.node_of(&id), play.node_of(&other)), (None, Some(origin())));
+    play.pass(200 * MS);
+    assert_eq!(play.node_of(&id), Some(origin()));
+    play.end(&id, Ending::Honoured);
+    let back = (200..220).filter(|&n| {
+        let id = missed(&mut play, n);
+        play.end(&id, Ending::Full);
+        play.answer(&id) == Some("turned back")
+    });
+    assert!(back.count() >= 16, "an origin that refuses all is asked again");
+}
+
 /// Crowded nodes slowed down, clients came again, and the day never recovered.
 #[test]
 fn crowded_caches_get_a_falling_share_of_reads_and_all_again_later() {
@@ -264,6 +293,8 @@
     play.end(&read, Ending::Miss);
     play.end(&read, Ending::Spoilt);
     assert_eq!(play.node_of(&read), Some(origin()));
+    let writes: Vec<_> = (0..3).map(|n| play.arrive(1, &format!("w{n}"), true)).collect();
+    writes.iter().for_each(|write| play.end(write, Ending::Full));
     play.end(&read, Ending::Full);
     assert_eq!(play.answer(&read), Some("turned back"), "one at its limit is not asked again");
     play.end(&once, Ending::Spoilt);
