--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -39,7 +39,7 @@
 const FETCHES_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out; many share a weak origin
 const FETCHES_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
-const REFUSES: f64 = 0.3; // share of fetches refused lately; above it the origin is sent half again what it can
+const REFUSES: f64 = 0.3; // share the origin refused lately; above it, it is sent half again what it can
 const PAUSE: f64 = 0.5; // of the origin's mean answer time; before a fetch refused for a moment is made again
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
@@ -340,9 +340,19 @@
 
     fn ask_cache(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
+        let last = access.hand_offs.len() + 1 == self.settings.max_hand_offs;
+        let fetches = self.settings.aside && !access.write;
         match self.choose(now, access) {
+            // Danger: a miss that draws the last hand-off has none left for the fetch.
+            Ok(_)
+                if last
+                    && fetches
+                    && self.origin.node.is_some_and(|o| self.origin_has_room(now, o, false)) =>
+            {
+                self.fetch(now, id);
+            }
             Ok(node) => self.hand_off(now, id, node),
-            Err(false) if self.settings.aside && !access.write => self.fetch(now, id),
+            Err(false) if fetches => self.fetch(now, id),
             Err(_) => {
                 let refused = !access.hand_offs.is_empty();
                 refused.then(|| self.feel(now, NOT_TAKEN));
@@ -443,7 +453,7 @@
         self.hold(id, Role::Queued, until - expected);
     }
 
-    /// Danger: an origin that is full for a moment cost each access it refused, though it had room soon after.
+    /// Danger: an origin full for a moment cost each access that it refused, though it had room soon after.
     /// One that refuses many is left alone. The pause differs, so that those refused together come apart.
     fn fetch_again(&mut self, now: Micros, id: &AccessId) {
         let pause = (self.origin.times.mean * PAUSE * self.rng.random_range(0.5..1.5)) as Micros;
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -379,6 +379,18 @@
     assert!(to_cold(&mut play, 0..200, true) <= warm / 5);
 }
 
+/// Refused by three caches and missed at a fourth, a read had no hand-off left for its fetch.
+#[test]
+fn the_last_hand_off_of_a_read_goes_to_the_origin_while_it_has_room() {
+    let mut play = Play::new(hundreds(), 30);
+    let id = play.arrive(0, "k", false);
+    for _ in 0..3 {
+        assert_ne!(play.node_of(&id), Some(origin()));
+        play.end(&id, Ending::Full);
+    }
+    assert_eq!(play.node_of(&id), Some(origin()));
+}
+
 /// Few slots a node gave some of a hundred nodes twice the share of others.
 #[test]
 fn shares_are_even_over_a_hundred_nodes() {
