Time-outs at silent nodes teach no answer times

Line at fault: observe learned the mean and its deviation from the time-outs themselves, which drew out the next ones.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -641,7 +641,8 @@
         // a refusal tells of a moment only.
         let age = if outcome.ending == Ending::Full { f64::INFINITY } else { ESTIMATE_AGE };
         node.goal_used.learn(now, used, NODE_SMOOTHING, age);
-        if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) {
+        // Danger: time-outs at nodes that are gone drew out the patience with all, and so the time-outs.
+        if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) && !struck {
             node.time.learn(now, wait as f64, NODE_SMOOTHING, age);
             node.learn_least(wait as f64, BEST_DRIFT);
             self.caches.times.learn(wait, SMOOTHING);
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -206,15 +206,35 @@
     let mut play = Play::new(settings(), 6);
     let id = play.arrive(0, "k", false);
     let silent = play.node_of(&id);
-    play.pass(500 * MS);
+    play.pass(400 * MS);
+    play.end(&id, Ending::Honoured);
     let other = play.arrive(0, "k", false);
     assert!(play.node_of(&other).is_some() && play.node_of(&other) != silent);
-    play.pass(400 * MS);
+    play.end(&other, Ending::Honoured);
+    play.pass(300 * MS);
     let (one, two) = (play.arrive(0, "k", false), play.arrive(0, "k", false));
     assert_eq!(play.node_of(&one), silent);
     assert_ne!(play.node_of(&two), silent);
 }
 
+/// Each time-out at a node that was gone drew out those that followed, until no time was left for another node.
+#[test]
+fn time_outs_at_silent_nodes_do_not_draw_out_the_patience() {
+    let mut play = Play::new(settings(), 30);
+    let waits: Vec<Micros> = (0..30)
+        .filter_map(|n| {
+            let id = play.arrive(0, &format!("k{n}"), false);
+            let sent =
+                play.world.0.borrow().accesses[&id].sent.last().map(|sent| sent.times_out - sent.at)?;
+            play.pass(sent + 60 * MS);
+            play.end(&id, Ending::Honoured);
+            Some(sent)
+        })
+        .collect();
+    assert!(waits.len() > 5);
+    assert!(waits.iter().all(|wait| *wait <= waits[0] + 20 * MS), "{waits:?}");
+}
+
 #[test]
 fn surplus_of_a_tenant_is_turned_back_and_its_share_is_not() {
     let mut play = Play::new(Settings { quotas: vec![10.0], fleet_size: 2, ..settings() }, 2);
