Spare connections close after a second; a refused new one waits for one of ours

Seen on zone+vast and herd+vast, from a trace of each answer with its connection: all 2,429 refusals of the origin came on new connections (of 2,734, 89 %), none on 15,833 used ones; herd+vast 2,705 and none on 11,908. So the origin is not full, its connection table is: a proxy shut out was refused every time for 8 s (n46, n48) while others had 4 to 20 % refused. Ruled out: its capacity (used connections are never refused), its queue, the limit's growth. Lines at fault: Pool kept each connection of a burst for 8.5 s, a hundred proxies up to six each; learn_origin took such refusals for strain and cut the limit to a fetch in half a second, where it stayed. Now of a node's idle connections one is kept and the rest close after a second; the outcome tells whether it was the first on its connection, and one refused so waits for one of ours that is out, else asks again, and is no strain.

--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -157,4 +157,6 @@
     pub wait: Micros,
     /// The access is over, by this outcome or before it.
     pub settled: bool,
+    /// It was the first on a connection opened for it, as far as the host can tell.
+    pub first: bool,
 }
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -157,7 +157,7 @@
                 Ending::Miss => self.missed(now, id, node),
                 // Danger: an origin at its limit would be asked again by all; a spoilt answer tells of none.
                 Ending::Spoilt | Ending::Reset if Some(node) == self.origin.node => self.fetch(now, id),
-                Ending::Full if Some(node) == self.origin.node => self.fetch_again(now, id),
+                Ending::Full if Some(node) == self.origin.node => self.fetch_again(now, id, outcome.first),
                 _ if Some(node) == self.origin.node => self.give_up(now, id),
                 _ => self.ask_cache(now, id),
             }
@@ -455,7 +455,14 @@
 
     /// Danger: an origin full for a moment cost each access that it refused, though it had room soon after.
     /// One that refuses many is left alone. The pause differs, so that those refused together come apart.
-    fn fetch_again(&mut self, now: Micros, id: &AccessId) {
+    fn fetch_again(&mut self, now: Micros, id: &AccessId, first: bool) {
+        let out = self.origin.node.map_or(0, |o| self.nodes[o].in_flight);
+        if first && out > 0 {
+            // Danger: a table full of a hundred proxies' connections takes no more of them, however idle the
+            // origin is. What we hold there is our limit, until answers let us try for one more.
+            self.origin.most = self.origin.most.min(f64::from(out));
+            return self.fetch(now, id);
+        }
         let pause = (self.origin.times.mean * PAUSE * self.rng.random_range(0.5..1.5)) as Micros;
         let until = self.accesses.get(id).map_or(0, |access| access.useful_until);
         if self.origin.refused.mean > REFUSES || now + pause + self.origin.times.expected() > until {
@@ -670,7 +677,8 @@
             self.origin.times.learn(outcome.wait, SMOOTHING);
             self.origin.best = (self.origin.best * BEST_DRIFT).min(self.origin.times.mean);
         }
-        let refused = outcome.ending == Ending::Full;
+        // Danger: one with no connection there that finds the table full would take it for a full origin.
+        let refused = outcome.ending == Ending::Full && !outcome.first;
         if refused || outcome.ending == Ending::Honoured {
             self.origin.refused.learn(now, f64::from(u8::from(refused)), NODE_SMOOTHING, f64::INFINITY);
         }
@@ -678,7 +686,7 @@
             Ending::Honoured => self.origin.times.mean > FETCH_SLOW * self.origin.best,
             Ending::Miss | Ending::CalledOff | Ending::NotSent | Ending::Spoilt | Ending::Unknown => return,
             // Danger: single refusals come by chance, and each cut one of a hundred down to a fetch a second.
-            ending => struck || ending == Ending::Full && self.origin.refused.mean > REFUSES,
+            _ => struck || refused && self.origin.refused.mean > REFUSES,
         };
         // Danger: one of hundreds, with a fetch a second, would take half a minute to cut its limit.
         let cuts = self.origin.silence(now).clamp(1, STEPS_MOST) as i32;
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -155,6 +155,34 @@
     assert!(back.count() >= 16, "an origin that refuses all is asked again");
 }
 
+/// An origin whose table was full of others' connections passed for a full one, and a proxy with none open there
+/// stayed shut out for eight seconds.
+#[test]
+fn refused_on_a_new_connection_it_waits_for_one_that_is_open_and_is_no_strain() {
+    let mut play = Play::new(settings(), 6);
+    let missed = |play: &mut Play, n: usize| {
+        let id = play.arrive(0, &format!("k{n}"), false);
+        play.end(&id, Ending::Miss);
+        id
+    };
+    let (one, two) = (missed(&mut play, 0), missed(&mut play, 1));
+    play.end_on(&two, Ending::Full, true);
+    let three = missed(&mut play, 2);
+    assert_eq!([&one, &two, &three].map(|id| play.node_of(id)), [Some(origin()), None, None]);
+    play.pass(30 * MS);
+    play.end(&one, Ending::Honoured);
+    assert_eq!(play.node_of(&two), Some(origin()), "on the connection that is free now");
+    play.end(&two, Ending::Honoured);
+    play.end(&three, Ending::Honoured);
+    for n in 10..30 {
+        let id = missed(&mut play, n);
+        assert_eq!(play.node_of(&id), Some(origin()), "alone there, it is tried at once");
+        play.end_on(&id, Ending::Full, true);
+        play.pass(200 * MS);
+        play.end(&id, Ending::Honoured);
+    }
+}
+
 /// Crowded nodes slowed down, clients came again, and the day never recovered.
 #[test]
 fn crowded_caches_get_a_falling_share_of_reads_and_all_again_later() {
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -202,6 +202,10 @@
     }
     /// Ends the hand-off that is out, if one is; at the host a success is the access's final answer.
     pub fn end(&mut self, id: &AccessId, ending: Ending) {
+        self.end_on(id, ending, false);
+    }
+    /// The same, on a connection opened for it or on a used one.
+    pub fn end_on(&mut self, id: &AccessId, ending: Ending, first: bool) {
         let now = self.now();
         let (node, number, wait, settled) = {
             let mut r = self.world.0.borrow_mut();
@@ -215,7 +219,7 @@
             }
             (node, number, wait, access.answer.is_some())
         };
-        let outcome = Outcome { number, ending, wait, settled };
+        let outcome = Outcome { number, ending, wait, settled, first };
         self.policy.outcome(now, id, &node, outcome);
     }
     /// Lets time pass; timers and time-outs come when due.
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -291,6 +291,7 @@
                     ending: ending(fields.need("ending")?),
                     wait: fields.time("wait_time")?,
                     settled: fields.need("settled")?,
+                    first: false,
                 };
                 if let Some(policy) = policy.as_mut() {
                     policy.outcome(now, &id, &node, outcome);
--- a/crates/flintwell/src/access.rs
+++ b/crates/flintwell/src/access.rs
@@ -23,12 +23,12 @@
                 let wait = desk.clock.now() - sent_at;
                 match ended {
                     Ok(answered) => {
-                        seat.ended(answered.ending, wait);
+                        seat.ended(answered.ending, wait, answered.first);
                         if answered.ending == Ending::Honoured {
                             return Answer::Honoured(answered.body);
                         }
                     }
-                    Err(broken) => seat.ended(broken.ending(), wait),
+                    Err(broken) => seat.ended(broken.ending(), wait, false),
                 }
             }
             Some(Step::TurnBack { stay_away }) => return Answer::TurnedBack { stay_away },
--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -211,10 +211,10 @@
     }
 
     /// How the hand-off that is out has ended, after `wait`.
-    pub fn ended(&mut self, ending: Ending, wait: Micros) {
+    pub fn ended(&mut self, ending: Ending, wait: Micros, first: bool) {
         let Some(node) = self.out.take() else { return };
         self.over |= ending == Ending::Honoured;
-        let outcome = Outcome { number: self.hand_offs, ending, wait, settled: self.over };
+        let outcome = Outcome { number: self.hand_offs, ending, wait, settled: self.over, first };
         self.hand_offs += 1;
         self.or_break_off(self.desk.module(|module, now| module.outcome(now, &self.id, &node, outcome)));
     }
@@ -225,7 +225,7 @@
         if !std::mem::replace(&mut self.over, true) {
             self.desk.module(|module, now| module.access_gone(now, &self.id));
         }
-        self.ended(Ending::CalledOff, 0);
+        self.ended(Ending::CalledOff, 0, false);
         self.desk.board.places.borrow_mut().remove(&self.id);
     }
 }
@@ -250,7 +250,7 @@
         seat.arrives(Arrival { id, use_case: 0, tenant: 0, key, outer_limit, work: None, write: false });
         if let Some(Step::HandOff { node, .. }) = seat.place.next.take() {
             seat.sends(&node);
-            seat.ended(Ending::Miss, 1_000);
+            seat.ended(Ending::Miss, 1_000, false);
         }
         let step = seat.place.next.take();
         if let Some(Step::HandOff { node, .. }) = &step {
@@ -283,7 +283,7 @@
         for n in 0..8 {
             assert!(missed(&desk, &format!("held {n}"), "k").1.is_none(), "held, then dropped");
         }
-        leader.ended(Ending::Error, 1_000);
+        leader.ended(Ending::Error, 1_000, false);
         let others = ["a", "b", "c"].map(|key| missed(&desk, key, key));
         assert!(others.iter().all(|(_, step)| matches!(step, Some(Step::HandOff { .. }))));
     }
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -28,6 +28,8 @@
 /// A node's whole answer.
 pub struct Answered {
     pub ending: Ending,
+    /// The first answer on its connection.
+    pub first: bool,
     pub body: Bytes,
 }
 
@@ -72,12 +74,12 @@
 
 async fn send(pool: &Pool, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
     let mut link = open(pool, &hand_off.node).await?;
-    let idle = link.idle_since.elapsed();
+    let (idle, first) = (link.idle_since.elapsed(), link.unused());
     let reply = link.exchange(message(hand_off), BODY_MOST, progress).await;
     pool.used_after(idle, reply.as_ref().is_err_and(|broken| broken.ending() == Ending::Reset));
     let reply = reply?;
     pool.give_back(&hand_off.node, link);
-    Ok(answered(reply))
+    Ok(answered(reply, first))
 }
 
 /// An idle connection that still takes an exchange, or a new one.
@@ -108,7 +110,7 @@
     message
 }
 
-fn answered(reply: Reply) -> Answered {
+fn answered(reply: Reply, first: bool) -> Answered {
     let not_run = reply.headers.get("x-not-run").is_some_and(|value| value == "1");
     let ending = match reply.status {
         StatusCode::OK => Ending::Honoured,
@@ -117,5 +119,5 @@
         status if status.is_server_error() => Ending::Error,
         _ => Ending::Unknown,
     };
-    Answered { ending, body: reply.body }
+    Answered { ending, first, body: reply.body }
 }
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -198,6 +198,11 @@
         waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock).then_some(self)
     }
 
+    /// Nothing was ever sent on it.
+    pub fn unused(&self) -> bool {
+        self.written.get() == 0
+    }
+
     pub fn closed(&self) -> bool {
         self.sender.is_closed()
     }
--- a/crates/flintwell/src/pool.rs
+++ b/crates/flintwell/src/pool.rs
@@ -18,7 +18,9 @@
 const IDLE_FALL: f64 = 0.7; // factor on the limit at a reset; with the next, it falls from one in five on
 const IDLE_RISE: f64 = 1.1; // factor at an answer on a connection that stood idle for some of the limit
 const ROOM_WITHIN: Duration = Duration::from_millis(20); // for a closed connection to end, or a hand-off to
-const SWEEPS: u32 = 10; // looks at idle connections in that time, so that they come well within the margin
+const SWEEP: Duration = Duration::from_millis(250); // between looks at idle connections; fine beside a spare's time
+const SWEEPS: u32 = 10; // looks at least while an idle one is kept, so that they come within the margin
+const SPARE_IDLE: Duration = Duration::from_secs(1); // for one more than one; past a burst's next accesses
 
 struct Place {
     addr: SocketAddr,
@@ -141,18 +143,47 @@
     /// Closes what has been idle for too long, before the node does.
     pub async fn sweep(&self) {
         loop {
-            tokio::time::sleep(self.idle_most / SWEEPS).await;
-            for place in self.nodes.borrow_mut().values_mut() {
-                place.idle.retain(|link| self.fresh(link));
-            }
+            tokio::time::sleep(SWEEP.min(self.idle_most / SWEEPS)).await;
+            self.nodes.borrow_mut().values_mut().for_each(|place| self.trim(&mut place.idle));
         }
     }
+
+    /// Danger: what a hundred proxies opened for a burst and keep fills a node's table, and one that comes with
+    /// nothing open is refused though the node is idle. One is kept as long as may be, the others while in use.
+    fn trim(&self, idle: &mut Vec<Link>) {
+        let spares = idle.len().saturating_sub(1);
+        let spare = idle.iter().take(spares).filter(|link| link.idle_since.elapsed() >= SPARE_IDLE).count();
+        idle.drain(..spare);
+        idle.retain(|link| self.fresh(link));
+    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[tokio::test]
+    async fn connections_opened_for_a_burst_close_soon_and_one_stays() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let addr = listener.local_addr().expect("its address");
+        let work = async {
+            let (pool, node) = (Pool::new(8, 1_000_000, 10_000_000), NodeId::from("n"));
+            pool.place(&node, addr, 0.0, true);
+            let mut links = Vec::new();
+            let mut ends = Vec::new();
+            for _ in 0..4 {
+                links.push(pool.dial(&node).await.expect("a connection"));
+                ends.push(listener.accept().await.expect("accepted"));
+            }
+            links.into_iter().for_each(|link| pool.give_back(&node, link));
+            let open = || pool.nodes.borrow()[&node].idle.len();
+            let before = open();
+            let _ = timeout(SPARE_IDLE + SWEEP * 2, pool.sweep()).await;
+            (before, open())
+        };
+        assert_eq!(tokio::task::LocalSet::new().run_until(work).await, (4, 1));
+    }
+
     #[test]
     fn idle_times_that_nodes_cut_short_are_found_and_single_resets_are_forgotten() {
         let pool = Pool::new(1, 1, 10_000_000);
