--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -33,6 +33,7 @@
 const FULL_SHARE: f64 = 0.3; // of the mean answer time; a full node is passed over while a place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
+const ZONE_SILENT: u32 = 3; // nodes in a row with none heard; by chance hardly, while a zone is there
 const FAULTY: f64 = 0.3; // share of a node's hand-offs that come to nothing; from then on each is a strike
 const FORGOTTEN: Micros = 60_000_000; // us; since a gone node's last access; far longer than any lasts
 const FETCHES_FIRST: f64 = 4.0; // fetches out; start value, before the origin's answers teach better
@@ -71,6 +72,7 @@
     accesses: Accesses,
     joins: BTreeMap<Key, Join>,
     nodes: Nodes,
+    zones: BTreeMap<u32, Zone>,
     slots: Slots,
     caches: Caches,
     origin: Origin,
@@ -101,6 +103,7 @@
             accesses: Accesses::default(),
             joins: BTreeMap::new(),
             nodes: Nodes::default(),
+            zones: BTreeMap::new(),
             slots: Slots::default(),
             caches: Caches { times, admit: share(1.0), surplus: share(ADMIT_LEAST), ..Caches::default() },
             origin: Origin { times, best: f64::MAX, most: FETCHES_FIRST, heard_at: now, ..Origin::default() },
@@ -258,7 +261,8 @@
     fn takes(&self, now: Micros, n: usize, lot: Option<u64>) -> bool {
         let node = &self.nodes[n];
         // Danger: a node that comes back wrongly trusted swallows a burst; it is risked one access at a time.
-        let trusted = now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
+        let zone = self.zones.get(&node.entry.zone).is_none_or(|z| now >= z.tried_at + z.spell);
+        let trusted = zone && now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
         let warmth = node.warmth(now, self.settings.start_capacity, self.settings.ramp_time);
         self.is_cache(n)
             && trusted
@@ -533,6 +537,10 @@
         if at_origin {
             self.origin.after = now + (self.origin.times.mean / self.origin.most.min(1.0)) as Micros;
         } else {
+            // One access tries a zone that fell silent; the next waits for what became of it.
+            if let Some(zone) = self.zones.get_mut(&node.entry.zone).filter(|zone| zone.spell > 0) {
+                zone.tried_at = now;
+            }
             self.caches.in_flight += 1;
             self.caches.sent.add(now, self.settings.fall);
         }
@@ -622,6 +630,17 @@
         // Danger: a node that takes accesses and answers none, or most at once with an error, and looks idle.
         // But any connection may fall silent, and any answer be spoilt, at a node that is well.
         let struck = silent && node.heard_at <= sent_at || fault && node.faults.mean > FAULTY;
+        // Danger: a zone that is lost was found out node by node, and again at the end of each one's spell.
+        let zone = self.zones.entry(node.entry.zone).or_default();
+        if silent && !at_origin && zone.heard_at <= sent_at {
+            zone.silent += u32::from(node.strikes == 0);
+            if zone.silent >= ZONE_SILENT && now >= zone.tried_at + zone.spell {
+                (zone.tried_at, zone.spell) =
+                    (now, (zone.spell * 2).clamp(SKIP_FIRST, SKIP_FIRST << SKIP_DOUBLINGS));
+            }
+        } else if !silent && !matches!(outcome.ending, Ending::CalledOff | Ending::NotSent) {
+            *zone = Zone { heard_at: now, ..Zone::default() };
+        }
         match outcome.ending {
             _ if struck => node.strike(now, SKIP_FIRST, SKIP_DOUBLINGS),
             Ending::Honoured | Ending::Miss | Ending::Full | Ending::Error | Ending::Spoilt => {
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -172,6 +172,17 @@
     }
 }
 
+/// The caches of one zone, as far as they fall silent together.
+#[derive(Default)]
+pub(crate) struct Zone {
+    pub heard_at: Micros,
+    /// Nodes that fell silent since.
+    pub silent: u32,
+    /// How long it is left alone from when it was tried last; 0 while it is trusted.
+    pub spell: Micros,
+    pub tried_at: Micros,
+}
+
 /// All nodes by number, and their numbers by id.
 #[derive(Default)]
 pub(crate) struct Nodes {
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -263,6 +263,30 @@
     assert!(waits.iter().all(|wait| *wait <= waits[0] + 20 * MS), "{waits:?}");
 }
 
+/// A lost zone was found out node by node, and again at the end of each one's spell.
+#[test]
+fn a_zone_that_falls_silent_is_tried_by_one_access_at_a_time_and_trusted_again_at_its_first_answer() {
+    let mut play = Play::new(settings(), 40);
+    let to_zone = |play: &mut Play, keys: std::ops::Range<usize>, ending: Ending| -> usize {
+        let mut to_zone = 0;
+        for n in keys {
+            let id = play.arrive(0, &format!("k{n}"), false);
+            while let Some(node) = play.node_of(&id).filter(|node| *node != origin()) {
+                let there = play.world.0.borrow().listed[&node].zone == 1;
+                to_zone += usize::from(there);
+                play.end(&id, if there { ending } else { Ending::Honoured });
+            }
+            play.end(&id, Ending::Honoured);
+            play.pass(10 * MS);
+        }
+        to_zone
+    };
+    let lost = to_zone(&mut play, 0..200, Ending::TimedOut);
+    assert!((3..12).contains(&lost), "{lost} to a zone that is lost");
+    play.pass(5 * SECOND);
+    assert!(to_zone(&mut play, 200..400, Ending::Honoured) > 50);
+}
+
 #[test]
 fn surplus_of_a_tenant_is_turned_back_and_its_share_is_not() {
     let mut play = Play::new(Settings { quotas: vec![10.0], fleet_size: 2, ..settings() }, 2);
