First calls for the list come spread by the size of the fleet

Line at fault: list_due at the start of each. Ruled out: the wait after a failure (its spread is 0.7 s).

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -56,6 +56,8 @@
 const TURN_GROUPS: u32 = 4; // of hundreds of proxies, each with its turn; a quarter is about a cold share
 const TURNS_SHARE: f64 = 0.25; // of the ramp time: how long proxies take turns at a fresh node
 const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
+const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
+const FLEET_MOST: u32 = 100; // proxies; more share that time, or the first list would come too late
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 3; // doublings of that wait; stays under common ask limits
 const TELL_EVERY: Micros = 1_000_000; // us; between words to one peer each, where shares need them
@@ -88,6 +90,9 @@
 impl<H: Host> Policy<H> {
     /// A fresh instance; the kept list follows by `list`.
     pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // Danger: a fleet that starts as one asks as one; each call late in the queue fails, and comes again.
+        let spread = rng.random_range(0..=LIST_SPREAD * i64::from(settings.fleet_size.min(FLEET_MOST)));
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
         let times = Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
         let tells = settings.peer_messages && !settings.quotas.is_empty() && settings.fleet_size > 1;
@@ -95,10 +100,10 @@
         let tenant = |_: &f64| Tenant { allowance: 1.0, filled_at: now };
         Policy {
             host,
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng,
             tenants: settings.quotas.iter().map(tenant).collect(),
             tell_at: if tells { now + TELL_EVERY } else { Micros::MAX },
-            list_due: if settings.list_on_request { now } else { Micros::MAX },
+            list_due: if settings.list_on_request { now + spread } else { Micros::MAX },
             settings,
             accesses: Accesses::default(),
             joins: BTreeMap::new(),
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -2,6 +2,7 @@
 
 use crate::world::*;
 use flintwell_core::interface::*;
+use flintwell_core::policy::Policy;
 
 fn origin() -> NodeId {
     entry(0, Standing::Ready, 0).node
@@ -305,6 +306,26 @@
     assert!(play.world.0.borrow().watches >= 1);
 }
 
+/// A hundred that started as one asked as one: sixty calls failed, came again together, and most were never told.
+#[test]
+fn of_a_large_fleet_each_asks_for_the_list_at_a_moment_of_its_own_and_soon() {
+    let asks_in = |fleet_size: u32, seed: u64| -> Micros {
+        let (world, now) = (World::default(), 3_600 * SECOND);
+        let mut policy = Policy::start(now, Settings { fleet_size, ..settings() }, seed, world.clone());
+        policy.list(now, ListKind::Kept, vec![entry(1, Standing::Ready, 0)]);
+        let records = world.0.borrow();
+        if records.watches > 0 {
+            0
+        } else {
+            records.wakes.iter().min().map_or(Micros::MAX, |wake| wake.0 - now)
+        }
+    };
+    let waits: Vec<_> = (0..100).map(|seed| asks_in(100, seed)).collect();
+    let within = |span: Micros| waits.iter().filter(|wait| **wait < span).count();
+    assert!(within(500 * MS) < 35 && within(3_001 * MS) == 100, "{waits:?}");
+    assert!((0..100).all(|seed| asks_in(4, seed) <= 120 * MS && asks_in(1_000, seed) <= 3 * SECOND));
+}
+
 /// A few slow nodes raised the mean and idle nodes' reads were turned back; and a slow home kept its reads.
 #[test]
 fn a_slow_node_is_passed_over_and_idle_ones_still_get_theirs() {
