--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -55,6 +55,7 @@
 const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
 const TURN_GROUPS: u32 = 4; // of hundreds of proxies, each with its turn; a quarter is about a cold share
 const TURNS_SHARE: f64 = 0.25; // of the ramp time: how long proxies take turns at a fresh node
+const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
 const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
 const FLEET_MOST: u32 = 100; // proxies; more share that time, or the first list would come too late
@@ -289,7 +290,8 @@
         let (taken, sent) = (lately(&self.caches.taken), lately(&self.caches.sent));
         // Danger: by what warm ones could not take, as many cold ones of a large fleet stood idle. There they
         // get first choices only, and nothing that others refused: in step with arrivals, not refusals.
-        let part = warmth * if self.caches.few { 1.0 } else { (taken / sent.max(1.0)).min(1.0) };
+        let room = if self.caches.few { COLD_ROOM } else { 1.0 };
+        let part = warmth * (room * taken / sent.max(1.0)).min(1.0);
         if unit(mix(node.id_hash ^ lot)) > part || fresh && !turn {
             return false;
         }
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -472,6 +472,30 @@
     assert!(to_cold(&mut play, 0..200, true) <= warm / 5);
 }
 
+/// Cold nodes of a large fleet are sent in step with arrivals, which in a burst is more than they can do.
+#[test]
+fn in_an_overload_a_cold_node_of_a_large_fleet_gets_less() {
+    let to_cold = |overload: bool| -> usize {
+        let mut play = Play::new(Settings { ramp_time: 40 * SECOND, ..hundreds() }, 10);
+        restarted(&mut play, 2);
+        play.pass(10 * SECOND);
+        let cold = Some(entry(2, Standing::Ready, 0).node);
+        let mut to_cold = 0;
+        for n in 0..1_000 {
+            let id = play.arrive(0, &format!("k{n}"), false);
+            to_cold += usize::from(play.node_of(&id) == cold);
+            while overload && n % 5 > 0 && play.node_of(&id).is_some_and(|node| node != origin()) {
+                play.end(&id, Ending::Full);
+            }
+            play.end(&id, Ending::Honoured);
+            play.pass(20 * MS);
+        }
+        to_cold
+    };
+    let (calm, overload) = (to_cold(false), to_cold(true));
+    assert!(calm > 10 && overload < calm / 4, "{overload} in an overload, {calm} in calm");
+}
+
 /// Refused by three caches and missed at a fourth, a read had no hand-off left for its fetch.
 #[test]
 fn the_last_hand_off_of_a_read_goes_to_the_origin_while_it_has_room() {
