--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -351,17 +351,12 @@
 
     fn ask_cache(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
-        let last = access.hand_offs.len() + 1 == self.settings.max_hand_offs;
         let fetches = self.settings.aside && !access.write;
+        let room = || self.origin.node.is_some_and(|o| self.origin_has_room(now, o, false));
+        let last = fetches && access.hand_offs.len() + 1 == self.settings.max_hand_offs && room();
         match self.choose(now, access) {
             // Danger: a miss that draws the last hand-off has none left for the fetch.
-            Ok(_)
-                if last
-                    && fetches
-                    && self.origin.node.is_some_and(|o| self.origin_has_room(now, o, false)) =>
-            {
-                self.fetch(now, id);
-            }
+            Ok(_) if last => self.fetch(now, id),
             Ok(node) => self.hand_off(now, id, node),
             Err(false) if fetches => self.fetch(now, id),
             Err(_) => {
