--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -13,6 +13,13 @@
     play.list(ListKind::Changes, vec![entry(n, Standing::Ready, now)]);
 }
 
+/// A read of a key of this number, missed at its cache.
+fn missed(play: &mut Play, n: usize) -> AccessId {
+    let id = play.arrive(0, &format!("k{n}"), false);
+    play.end(&id, Ending::Miss);
+    id
+}
+
 #[test]
 fn the_first_miss_leads_and_later_ones_follow_to_its_cache() {
     let mut play = Play::new(settings(), 5);
@@ -131,11 +138,6 @@
 #[test]
 fn what_the_origin_refuses_in_a_moment_is_asked_again_unless_it_refuses_many() {
     let mut play = Play::new(settings(), 6);
-    let missed = |play: &mut Play, n: usize| {
-        let id = play.arrive(0, &format!("k{n}"), false);
-        play.end(&id, Ending::Miss);
-        id
-    };
     for n in 0..8 {
         let id = missed(&mut play, n);
         play.pass(60 * MS);
@@ -161,11 +163,6 @@
 #[test]
 fn refused_on_a_new_connection_it_waits_for_one_that_is_open_and_is_no_strain() {
     let mut play = Play::new(settings(), 6);
-    let missed = |play: &mut Play, n: usize| {
-        let id = play.arrive(0, &format!("k{n}"), false);
-        play.end(&id, Ending::Miss);
-        id
-    };
     let (one, two) = (missed(&mut play, 0), missed(&mut play, 1));
     play.end_on(&two, Ending::Full, true);
     let three = missed(&mut play, 2);
