The second address: readiness, figures, cache nodes taken out by hand

A hand-off counts at its stream's flush after its last byte.

Ruled out on the way: a list told again as changes would end the module's wait for its first call to discovery, so it is told as a kept one.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -232,6 +232,11 @@
         }
     }
 
+    /// How many listed caches it avoids now, by the list's word or by its own; nothing changes by asking.
+    pub fn avoided(&self, now: Micros) -> usize {
+        (0..self.nodes.len()).filter(|&n| !self.of_origin(n) && self.nodes[n].avoided(now)).count()
+    }
+
     /// Takes in an entry, and tells whether the slots stay as they are.
     fn enter(&mut self, now: Micros, mut entry: Entry) -> bool {
         let told = if entry.size > 0.0 && entry.size.is_finite() { entry.size } else { 0.0 };
@@ -304,9 +309,8 @@
         let zone = self.zones.get(&node.entry.zone).is_none_or(|z| now >= z.tried_at + z.spell);
         let trusted = zone && now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
         let warmth = node.warmth(now, self.settings.start_capacity, self.settings.ramp_time);
-        self.is_cache(n)
-            && trusted
-            && (warmth >= 1.0 || lot.is_some_and(|lot| self.cold_takes(now, n, lot, warmth)))
+        let cold_takes = || lot.is_some_and(|lot| self.cold_takes(now, n, lot, warmth));
+        self.is_cache(n) && trusted && (warmth >= 1.0 || cold_takes())
     }
 
     /// Danger: a cold node gets all its keys, or the origin all its misses, at once. It gets slots
@@ -411,9 +415,8 @@
 
     /// Writes pass at once; they end the key's join and served window. Those held join the fetch made after.
     fn write_passes(&mut self, now: Micros, id: &AccessId, key: &Key) {
-        let ended = self.joins.remove(key);
+        let join = self.joins.remove(key).unwrap_or_default();
         self.alone(now, id);
-        let Some(join) = ended else { return };
         for follower in join.followers {
             self.accesses.unhold(&follower);
             match self.settings.aside {
@@ -742,9 +745,7 @@
             self.origin.refused.learn(now, f64::from(u8::from(refused)), NODE_SMOOTHING, f64::INFINITY);
         }
         let strained = match outcome.ending {
-            Ending::Honoured => {
-                self.origin.times.mean > (FETCH_SLOW * self.origin.best).max(self.origin.bearable)
-            }
+            Ending::Honoured => self.origin.slow(FETCH_SLOW),
             Ending::Miss | Ending::CalledOff | Ending::NotSent | Ending::Spoilt | Ending::Unknown => return,
             // Danger: single refusals come by chance, and each cut one of a hundred down to a fetch a second.
             _ => struck || refused && self.origin.refused.mean > REFUSES,
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -173,6 +173,14 @@
         let age = (now - self.entry.started_at).max(0) as f64 / ramp.max(1) as f64;
         if self.entry.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
     }
+    /// Listed, and not asked but perhaps for a try.
+    pub fn avoided(&self, now: Micros) -> bool {
+        match self.entry.standing {
+            Standing::Ready => now < self.skip_until,
+            Standing::Draining => true,
+            Standing::Gone => false,
+        }
+    }
     pub fn in_group(&self, other: &Node, group: Group) -> bool {
         match group {
             Group::All => true,
@@ -342,6 +350,10 @@
         let gap = (now - std::mem::replace(&mut self.answered_at, now)) as f64;
         self.times.learn(wait, weight.max(1.0 - (-gap / age).exp()));
     }
+    /// Its answers take longer than at its best by this factor, and than is bearable.
+    pub fn slow(&self, factor: f64) -> bool {
+        self.times.mean > (factor * self.best).max(self.bearable)
+    }
     /// How many of its answer times have passed since it was last heard; it is heard now.
     pub fn silence(&mut self, now: Micros) -> Micros {
         (now - std::mem::replace(&mut self.heard_at, now)) / self.times.expected().max(1)
--- a/crates/flintwell/src/access.rs
+++ b/crates/flintwell/src/access.rs
@@ -1,6 +1,7 @@
 //! The life of one access, from top to bottom; the module chooses at each point of choice.
 
 use crate::answer::Answer;
+use crate::counts::Counts;
 use crate::decode::Access;
 use crate::desk::{Desk, Step};
 use crate::handoff::{HandOff, HandOffs};
@@ -8,7 +9,14 @@
 use std::rc::Rc;
 use tower::ServiceExt;
 
-pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs) -> Answer {
+pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs, counts: &Counts) -> Answer {
+    let (_in_hand, case) = (counts.takes(), access.use_case);
+    let answer = decide(access, desk, hand_offs).await;
+    counts.ended(case, &answer);
+    answer
+}
+
+async fn decide(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs) -> Answer {
     let access = Rc::new(access);
     let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
     let outer_limit = access.outer_limit(desk.pulse.waited_from());
--- a/crates/flintwell/src/config.rs
+++ b/crates/flintwell/src/config.rs
@@ -1,6 +1,6 @@
 //! The configuration file: read once at start, checked whole before anything is opened.
 
-use crate::discovery::Listing;
+use crate::roster::Listing;
 use flintwell_core::interface::Settings;
 use flintwell_settings::{Network, check, decode, decode_network, laid_over};
 use serde::Deserialize;
@@ -9,6 +9,7 @@
 use std::path::Path;
 
 const SOCKETS: usize = 1_024; // descriptors; the usual limit of a process, where none is given
+const MANAGEMENT: &str = "EDGE_MGMT"; // names the second address
 const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
 
 #[derive(Deserialize)]
@@ -22,6 +23,9 @@
     #[serde(default)]
     name: String,
     listen: SocketAddr,
+    /// The second address, for the staff; none without it.
+    #[serde(default)]
+    mgmt: Option<SocketAddr>,
     discovery: SocketAddr,
     #[serde(default)]
     seed: String,
@@ -37,6 +41,7 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    pub management: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
@@ -67,6 +72,7 @@
     Ok(Config {
         name: file.name,
         listen: file.listen,
+        management: management_told()?.or(file.mgmt),
         discovery: file.discovery,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?,
         sockets,
@@ -77,10 +83,19 @@
     })
 }
 
+/// The second address as the environment tells it, which is this process's own.
+fn management_told() -> Result<Option<SocketAddr>, String> {
+    let told = std::env::var(MANAGEMENT).ok().filter(|told| !told.is_empty());
+    told.map(|told| told.parse().map_err(|e| format!("{MANAGEMENT} is {told}: {e}"))).transpose()
+}
+
 impl std::fmt::Display for Config {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         let cases = self.network.use_cases.join(", ");
         writeln!(f, "{} listens on {}, discovery at {}", self.name, self.listen, self.discovery)?;
+        if let Some(management) = self.management {
+            writeln!(f, "second address {management}")?;
+        }
         writeln!(
             f,
             "number {} of {}, {} descriptors",
--- a/crates/flintwell/src/decode.rs
+++ b/crates/flintwell/src/decode.rs
@@ -25,7 +25,7 @@
     pub method: Method,
     pub path: Uri,
     pub body: Bytes,
-    use_case: usize,
+    pub use_case: usize,
     tenant: usize,
     key: Option<Key>,
     work: Option<Micros>,
--- a/crates/flintwell/src/desk.rs
+++ b/crates/flintwell/src/desk.rs
@@ -132,6 +132,11 @@
         self.module(|module| module.list(now, kind, entries), watched);
     }
 
+    /// How many listed caches the module avoids now.
+    pub fn avoided(&self) -> usize {
+        self.module.borrow().avoided(self.clock.now())
+    }
+
     /// A seat for an access; none while another of the same id is in hand.
     pub fn seat(self: &Rc<Self>, id: AccessId) -> Option<Seat> {
         let place = Rc::new(Place::default());
--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -1,20 +1,18 @@
-//! Keeps the list of nodes: asks discovery, decodes what it tells, and passes it on.
+//! Asks discovery for the list of nodes, decodes what it tells, and passes it on.
 
 use crate::clock::span;
 use crate::desk::Desk;
 use crate::link::{Broken, Cause, Link, Progress};
-use crate::pool::Pool;
+use crate::roster::{Listing, Roster};
 use crate::say;
 use bytes::Bytes;
-use flintwell_core::interface::{Entry, ListKind, Micros, NodeId, Standing};
-use flintwell_settings::Network;
+use flintwell_core::interface::{ListKind, Micros};
 use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -29,71 +27,11 @@
 const RETRY: Micros = 250_000; // us; first wait after a failed call, where the module does not set it
 const RETRY_DOUBLINGS: u32 = 4; // of that wait; 4 s at most, or changes are told late
 
-/// One entry as it stands on the wire.
-#[derive(Clone, Debug, Deserialize)]
-struct Line {
-    id: String,
-    addr: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    kind: String,
-    #[serde(default)]
-    cell: u32,
-    #[serde(default)]
-    state: String,
-    #[serde(default = "one")]
-    weight: f64,
-    #[serde(default)]
-    started_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// A list, or the changes of one.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Listing {
-    version: u64,
-    full: bool,
-    servers: Vec<Line>,
-}
-
-impl Listing {
-    pub fn len(&self) -> usize {
-        self.servers.len()
-    }
-}
-
-impl Line {
-    fn entry(&self, network: &Network) -> Entry {
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).map_or(u32::MAX, |place| place as u32)
-        };
-        Entry {
-            node: NodeId::from(&*self.id),
-            zone: place(&network.zones, &self.zone),
-            kind: place(&network.kinds, &self.kind),
-            cell: self.cell,
-            // A standing that is not known is no leave to send.
-            standing: match &*self.state {
-                "ready" => Standing::Ready,
-                "gone" => Standing::Gone,
-                _ => Standing::Draining,
-            },
-            size: self.weight,
-            started_at: (self.started_ms * 1e3) as Micros,
-        }
-    }
-}
-
 pub struct Discovery {
     /// Where it is, as the configuration has it now, and where we asked last.
     addr: watch::Receiver<SocketAddr>,
     asked_at: SocketAddr,
-    network: Rc<Network>,
-    pool: Rc<Pool>,
+    roster: Rc<Roster>,
     /// The module asks for the list; else it is watched all the time.
     wanted: Option<Rc<Notify>>,
     rng: ChaCha8Rng,
@@ -106,19 +44,18 @@
 impl Discovery {
     pub fn new(
         addr: watch::Receiver<SocketAddr>,
-        network: Rc<Network>,
-        pool: Rc<Pool>,
+        roster: Rc<Roster>,
         wanted: Option<Rc<Notify>>,
         seed: u64,
     ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let asked_at = *addr.borrow();
-        Discovery { addr, asked_at, network, pool, wanted, rng, version: None, link: None, watching: false }
+        Discovery { addr, asked_at, roster, wanted, rng, version: None, link: None, watching: false }
     }
 
     /// The list as it was last had.
-    pub fn start(&mut self, known: &Listing, desk: &Desk) {
-        self.tell(known, ListKind::Kept, desk);
+    pub fn start(&mut self, known: &Listing) {
+        self.tell(known, ListKind::Kept);
     }
 
     /// Watches for as long as calls go well; after a failure anew when the module asks, or after a wait.
@@ -148,12 +85,12 @@
                 match called {
                     Ok(listing) => {
                         failures = 0;
-                        if listing.servers.is_empty() && asked.elapsed() < PACE {
+                        if listing.len() == 0 && asked.elapsed() < PACE {
                             // Danger: a watch that does not wait would be asked without a pause.
                             sleep(PACE).await;
                         }
                         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
-                        self.tell(&listing, kind, desk);
+                        self.tell(&listing, kind);
                     }
                     Err(broken) => break broken,
                 }
@@ -175,28 +112,9 @@
         }
     }
 
-    fn tell(&mut self, listing: &Listing, kind: ListKind, desk: &Desk) {
+    fn tell(&mut self, listing: &Listing, kind: ListKind) {
         self.version = Some(listing.version);
-        if kind != ListKind::Changes {
-            self.pool.forget_missing(|node| listing.servers.iter().any(|line| *line.id == **node));
-        }
-        let mut entries: Vec<Entry> = listing.servers.iter().map(|line| line.entry(&self.network)).collect();
-        for (entry, line) in entries.iter_mut().zip(&listing.servers) {
-            // Danger: one address that is not understood would keep all else on the list from being told.
-            match line.addr.parse() {
-                Ok(addr) if entry.standing != Standing::Gone => {
-                    let ready = entry.standing == Standing::Ready;
-                    self.pool.place(&entry.node, addr, line.started_ms, ready);
-                }
-                Ok(_) => self.pool.forget(&entry.node),
-                Err(error) => {
-                    say!("discovery: address {} of {}: {error}", line.addr, line.id);
-                    entry.standing = Standing::Gone;
-                    self.pool.forget(&entry.node);
-                }
-            }
-        }
-        desk.list(kind, entries);
+        self.roster.take(listing, kind);
     }
 
     async fn call(&mut self) -> Result<Listing, Broken> {
--- a/crates/flintwell/src/front.rs
+++ b/crates/flintwell/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::access;
 use crate::answer::Answer;
+use crate::counts::Counts;
 use crate::decode::Access;
 use crate::desk::Desk;
 use crate::handoff::HandOffs;
@@ -21,6 +22,7 @@
 pub struct Front {
     pub desk: Rc<Desk>,
     pub hand_offs: HandOffs,
+    pub counts: Rc<Counts>,
     pub network: Rc<Network>,
     pub shutdown: Shutdown,
 }
@@ -40,7 +42,7 @@
             let answer = match request.uri().path() {
                 "/health/ready" => Answer::Ready(!front.shutdown.begun()),
                 _ => match Access::decode(request, &front.network).await {
-                    Ok(access) => access::serve(access, &front.desk, &front.hand_offs).await,
+                    Ok(access) => access::serve(access, &front.desk, &front.hand_offs, &front.counts).await,
                     Err(malformed) => Answer::Malformed(malformed),
                 },
             };
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -1,6 +1,7 @@
 //! One hand-off: an access sent to one node over one connection, and how it ended.
 
 use crate::clock::span;
+use crate::counts::Counts;
 use crate::decode::{Access, BODY_MOST};
 use crate::link::{Broken, Cause, Link, Progress, Reply};
 use crate::pool::Pool;
@@ -36,11 +37,12 @@
 #[derive(Clone)]
 pub struct HandOffs {
     pool: Rc<Pool>,
+    counts: Rc<Counts>,
 }
 
 impl HandOffs {
-    pub fn new(pool: Rc<Pool>) -> Self {
-        HandOffs { pool }
+    pub fn new(pool: Rc<Pool>, counts: Rc<Counts>) -> Self {
+        HandOffs { pool, counts }
     }
 }
 
@@ -54,9 +56,9 @@
     }
 
     fn call(&mut self, hand_off: HandOff) -> Self::Future {
-        let pool = self.pool.clone();
+        let (pool, counts) = (self.pool.clone(), self.counts.clone());
         Box::pin(async move {
-            let progress = Progress::default();
+            let progress = Progress::counted(&counts.hand_offs);
             let mut exchange = pin!(send(&pool, &hand_off, &progress));
             if let Ok(ended) = timeout(span(hand_off.allow_for), exchange.as_mut()).await {
                 return ended;
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -1,14 +1,16 @@
 //! One connection to a cache node, the origin or discovery: an exchange at a time, nothing sent again.
 
+use crate::counts::Count;
 use bytes::Bytes;
 use flintwell_core::interface::Ending;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::error::Error;
 use std::fmt;
 use std::io;
@@ -88,6 +90,44 @@
 struct Counted {
     stream: Rc<TcpStream>,
     written: Rc<Cell<u64>>,
+    message: Rc<Message>,
+}
+
+/// The message that an exchange writes.
+#[derive(Default)]
+struct Message {
+    /// Its last byte is in the connection's hands.
+    ended: Cell<bool>,
+    /// Grows by one once that is written.
+    whole: Cell<Option<Count>>,
+}
+
+/// A message's body, which marks its end.
+struct Marked {
+    body: Full<Bytes>,
+    message: Rc<Message>,
+}
+
+impl Body for Marked {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        self.message.ended.set(self.body.is_end_stream());
+        polled
+    }
+    fn is_end_stream(&self) -> bool {
+        let ended = self.body.is_end_stream();
+        self.message.ended.set(ended);
+        ended
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 impl AsyncRead for Counted {
@@ -120,7 +160,13 @@
             }
         }
     }
+    /// Called once all that was to be written so far is.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.message.ended.get()
+            && let Some(count) = self.message.whole.take()
+        {
+            count.set(count.get() + 1);
+        }
         Poll::Ready(Ok(()))
     }
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -130,13 +176,20 @@
 
 /// An exchange's mark on its connection: how far it has come, told also once the exchange was dropped.
 #[derive(Default)]
-pub struct Progress(Cell<Option<(Rc<Cell<u64>>, u64)>>);
+pub struct Progress {
+    mark: Cell<Option<(Rc<Cell<u64>>, u64)>>,
+    /// Grows by one once its message is written whole.
+    whole: Option<Count>,
+}
 
 impl Progress {
+    pub fn counted(whole: &Count) -> Self {
+        Progress { whole: Some(whole.clone()), ..Progress::default() }
+    }
     fn stage(&self) -> Stage {
-        let mark = self.0.take();
+        let mark = self.mark.take();
         let begun = mark.as_ref().is_some_and(|(written, before)| written.get() > *before);
-        self.0.set(mark);
+        self.mark.set(mark);
         if begun { Stage::Written } else { Stage::Unwritten }
     }
     pub fn broken(&self, cause: Cause) -> Broken {
@@ -152,11 +205,12 @@
 
 /// An open connection; dropping it closes it.
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Marked>,
     /// The driver's. Danger: a share in it would hold the descriptor of a closed connection whose room is
     /// given back already.
     stream: Weak<TcpStream>,
     written: Rc<Cell<u64>>,
+    message: Rc<Message>,
     driver: AbortHandle,
     pub idle_since: Instant,
 }
@@ -169,7 +223,8 @@
         stream.set_nodelay(true).map_err(|e| closed(&e))?;
         let (stream, written) = (Rc::new(stream), Rc::new(Cell::new(0)));
         let shared = Rc::downgrade(&stream);
-        let counted = Counted { stream, written: written.clone() };
+        let message = Rc::<Message>::default();
+        let counted = Counted { stream, written: written.clone(), message: message.clone() };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER)
             .handshake(TokioIo::new(counted))
@@ -184,6 +239,7 @@
             sender,
             stream: shared,
             written,
+            message,
             driver: driver.abort_handle(),
             idle_since: Instant::now(),
         })
@@ -214,7 +270,10 @@
         body_most: usize,
         progress: &Progress,
     ) -> Result<Reply, Broken> {
-        progress.0.set(Some((self.written.clone(), self.written.get())));
+        progress.mark.set(Some((self.written.clone(), self.written.get())));
+        self.message.ended.set(false);
+        self.message.whole.set(progress.whole.clone());
+        let request = request.map(|body| Marked { body, message: self.message.clone() });
         let broken = |error: hyper::Error| progress.broken(cause(&error));
         let (head, body) = self.sender.send_request(request).await.map_err(broken)?.into_parts();
         let body =
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -3,14 +3,18 @@
 use crate::accept;
 use crate::clock::{Clock, span};
 use crate::config::Config;
+use crate::counts::Counts;
 use crate::desk::Desk;
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::handoff::HandOffs;
+use crate::management::{self, Office};
 use crate::pool::Pool;
 use crate::reload;
+use crate::roster::Roster;
 use crate::say;
 use crate::shutdown;
+use crate::store::Store;
 use crate::watch::Watch;
 use futures_util::FutureExt;
 use std::panic::AssertUnwindSafe;
@@ -48,20 +52,30 @@
     let connections = (config.sockets - OWN_SOCKETS) / 2;
     let listener =
         accept::listen(config.listen).await.map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let management = match config.management {
+        Some(addr) => Some(accept::listen(addr).await.map_err(|e| format!("second address {addr}: {e}"))?),
+        None => None,
+    };
+    let temporary = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty()).map(PathBuf::from);
+    let store = Store::open(temporary.as_deref(), &config.name);
+    let store = store.map_err(|e| format!("folder for temporary files: {e}"))?;
     let network = Rc::new(config.network);
+    let counts = Counts::new(&network.use_cases);
     let longest = span(network.longest);
     let pool = Pool::new(connections, network.dial_within, network.idle_most);
     let list_wanted = Rc::new(Notify::new());
     let asked = config.settings.list_on_request.then(|| list_wanted.clone());
+    let origin_kind = config.settings.origin_kind;
     let (clock, seed) = (Clock::start(), config.seed);
     let watch = config.watch_with.map(|other| Rc::new(Watch::new(clock.now(), other, seed)));
     let desk = Rc::new(Desk::new(clock, config.settings, seed, list_wanted, pool.clone(), watch.clone()));
     if let Some(watch) = watch {
         spawn_local(lasting("watch", async move || watch.tell().await));
     }
+    let roster = Roster::new(network.clone(), origin_kind, pool.clone(), desk.clone(), store);
     let (moves, discovery_at) = watch::channel(config.discovery);
-    let mut discovery = Discovery::new(discovery_at, network.clone(), pool.clone(), asked, seed);
-    discovery.start(&config.known, &desk);
+    let mut discovery = Discovery::new(discovery_at, roster.clone(), asked, seed);
+    discovery.start(&config.known);
     let watched = desk.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
     let reloading = async move || reload::on_signal(&mut hangup, &path, &moves).await;
@@ -70,11 +84,20 @@
     spawn_local(lasting("timer", async move || timed.keep_time().await));
     let beating = desk.clone();
     spawn_local(lasting("pulse", async move || beating.pulse.beat().await));
+    let followed = roster.clone();
+    spawn_local(lasting("roster", async move || followed.follow().await));
     let swept = pool.clone();
     spawn_local(lasting("sweep", async move || swept.sweep().await));
     let (stop, shutdown) = shutdown::new();
     let room = Arc::new(Semaphore::new(connections));
-    let front = Front { desk, hand_offs: HandOffs::new(pool), network, shutdown };
+    if let Some(listener) = management {
+        let (counts, desk, shutdown) = (counts.clone(), desk.clone(), shutdown.clone());
+        let office = Rc::new(Office { counts, desk, roster, shutdown });
+        let answering = async move || management::answer(&listener, &office).await;
+        spawn_local(lasting("second address", answering));
+    }
+    let hand_offs = HandOffs::new(pool, counts.clone());
+    let front = Front { desk, hand_offs, counts, network, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     say!("{} serves on {at}", config.name);
     let doors = room.clone();
--- /dev/null
+++ b/crates/flintwell/tests/process/main.rs
@@ -0,0 +1,5 @@
+//! The proxy as a process on loopback, between clients, nodes and a discovery that do as each test says.
+
+mod operations;
+mod sockets;
+mod support;
--- /dev/null
+++ b/crates/flintwell/tests/process/operations.rs
@@ -0,0 +1,290 @@
+//! The second address, its figures, and nodes taken out by hand.
+
+use crate::support::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What the second address says to these words, and after how long.
+fn says(at: SocketAddr, words: &str) -> (u16, String, Duration) {
+    let start = Instant::now();
+    let mut call = TcpStream::connect(at).expect("a connection");
+    call.set_read_timeout(Some(Duration::from_secs(5))).expect("a limit");
+    call.write_all(words.as_bytes()).expect("written");
+    let mut said = String::new();
+    call.read_to_string(&mut said).expect("an answer and a close");
+    let status = said.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status");
+    let body = said.split_once("\r\n\r\n").expect("a head").1.trim().to_owned();
+    (status, body, start.elapsed())
+}
+
+fn get(at: SocketAddr, path: &str) -> (u16, String) {
+    let (status, body, _) = says(at, &format!("GET {path} HTTP/1.1\r\nHost: m\r\n\r\n"));
+    (status, body)
+}
+
+fn post(at: SocketAddr, path: &str, body: &str) -> u16 {
+    let length = body.len();
+    says(at, &format!("POST {path} HTTP/1.1\r\nHost: m\r\nContent-Length: {length}\r\n\r\n{body}")).0
+}
+
+fn who(node: &str) -> String {
+    json!({ "who": node }).to_string()
+}
+
+fn figures(at: SocketAddr) -> Value {
+    serde_json::from_str(&get(at, "/api/telemetry").1).expect("JSON")
+}
+
+/// With a second address, and where that is.
+fn managed(mut config: Value) -> (Value, SocketAddr) {
+    let at = closed();
+    config["mgmt"] = json!(at.to_string());
+    (config, at)
+}
+
+/// A folder for temporary files, gone at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Folder {
+        static FOLDERS: AtomicUsize = AtomicUsize::new(0);
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("flintwell-folder-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn each_call_has_its_answer_and_bad_ones_are_told_why() {
+    let (config, at) = managed(config(misses().addr, misses().addr));
+    let proxy = Proxy::start(&config);
+    assert_eq!(get(at, "/api/ready").0, 200);
+    assert_eq!(get(at, "/api/telemetry").0, 200);
+    for path in ["/", "/api", "/api/ready/", "/api/Ready", "/health/ready", "/api/evict", "//api/ready"] {
+        assert_eq!(get(at, path).0, 404, "{path}");
+    }
+    assert_eq!(post(at, "/api/ready", ""), 405);
+    assert_eq!(get(at, "/api/exclude").0, 405);
+    let long = who(&"x".repeat(10_000));
+    for body in ["", "{", "[]", "\u{1}", "{\"who\":7}", "{\"who\":\"\"}", "{\"id\":\"c\"}", &long] {
+        assert_eq!(post(at, "/api/exclude", body), 400, "{body}");
+    }
+    for (node, status) in [("c", 200), ("nobody", 404), ("o", 404), ("../c", 404)] {
+        assert_eq!(post(at, "/api/exclude", &who(node)), status, "{node}");
+        assert_eq!(post(at, "/api/include", &who(node)), status, "{node}");
+    }
+    let mut garbage = TcpStream::connect(at).expect("a connection");
+    garbage.write_all(b"\0\x01nonsense\r\n\r\n").expect("written");
+    let _ = garbage.read_to_end(&mut Vec::new());
+    assert_eq!(get(at, "/api/ready").0, 200, "it goes on");
+    proxy.signal("-TERM");
+    soon("no longer ready", || get(at, "/api/ready").0 == 503);
+}
+
+#[test]
+fn callers_that_finish_no_call_keep_nobody_out() {
+    let (config, at) = managed(config(misses().addr, misses().addr));
+    let _proxy = Proxy::start(&config);
+    let silent: Vec<TcpStream> = (0..64)
+        .map(|n| {
+            let mut stream = TcpStream::connect(at).expect("a connection");
+            stream
+                .write_all(&b"POST /api/exclude HTTP/1.1\r\nContent-Length: 9\r\n\r\n{"[..n % 50])
+                .expect("to");
+            stream
+        })
+        .collect();
+    let (status, _, after) = says(at, "GET /api/telemetry HTTP/1.1\r\nHost: m\r\n\r\n");
+    assert!(status == 200 && after < Duration::from_secs(1), "{status} after {after:?}");
+    drop(silent);
+}
+
+#[test]
+fn a_call_is_answered_in_time_while_the_core_is_busy() {
+    let cache = Server::start(|_, _| Does::Answers(200, "value"));
+    let (config, at) = managed(config(cache.addr, misses().addr));
+    let proxy = Proxy::start(&config);
+    let addr = proxy.addr;
+    let until = Instant::now() + Duration::from_secs(2);
+    let storm: Vec<_> = (0..32)
+        .map(|thread| {
+            thread::spawn(move || {
+                let mut client = Client::at(addr);
+                let mut n = 0;
+                while Instant::now() < until {
+                    client.begin("read", &format!("t{thread}-{n}"));
+                    client.read().expect("an answer");
+                    n += 1;
+                }
+            })
+        })
+        .collect();
+    while Instant::now() < until {
+        let (status, _, after) = says(at, "GET /api/telemetry HTTP/1.1\r\nHost: m\r\n\r\n");
+        assert!(status == 200 && after < Duration::from_millis(500), "{status} after {after:?}");
+    }
+    storm.into_iter().for_each(|client| client.join().expect("a client"));
+}
+
+#[test]
+fn the_figures_are_what_clients_and_nodes_saw() {
+    let cache = Server::start(|message, number| match number % 5 {
+        0 => Does::Answers(404, ""),
+        1 if message.first.contains("cancelled") => Does::Waits(Duration::from_millis(200), "value"),
+        _ => Does::Answers(200, "value"),
+    });
+    let origin = Server::start(|message, number| match number % 3 {
+        _ if message.first.starts_with("GET") => Does::Answers(200, "value"),
+        0 => Does::Answers(503, ""),
+        1 => Does::Closes,
+        _ => Does::Answers(200, "done"),
+    });
+    let (config, at) = managed(config(cache.addr, origin.addr));
+    let proxy = Proxy::start(&config);
+    let none = json!({"read": 0, "write": 0, "once": 0});
+    let first = figures(at);
+    assert_eq!((&first["passed"], &first["dropped"], &first["bad_gateway"]), (&none, &none, &none));
+    let mut seen: BTreeMap<(&str, u16), u64> = BTreeMap::new();
+    for n in 0..120 {
+        let case = ["read", "once", "read"][n % 3];
+        let status = proxy.client().ask(case, &format!("a{n}")).status();
+        *seen.entry((case, status)).or_default() += 1;
+        let mut leaves = proxy.client();
+        leaves.begin("read", &format!("cancelled{n}"));
+        thread::sleep(Duration::from_millis(n as u64 % 3));
+    }
+    soon("none left", || figures(at)["in_progress"] == json!(0));
+    let told = figures(at);
+    for (case, status, name) in [
+        ("once", 200, "passed"),
+        ("once", 503, "dropped"),
+        ("once", 502, "bad_gateway"),
+        ("read", 503, "dropped"),
+    ] {
+        let count = told[name][case].as_u64().expect("a count");
+        let saw = seen.get(&(case, status)).copied().unwrap_or(0);
+        // Clients that left may be counted among the reads.
+        assert!(count == saw || case == "read" && count >= saw, "{name} of {case}: {count}, seen {saw}");
+        assert!(case == "read" || saw > 0, "{case} {status} was met");
+    }
+    let heard = (cache.heard().len() + origin.heard().len()) as u64;
+    let tries = told["upstream_tries"].as_u64().expect("a count");
+    assert!(tries.abs_diff(heard) <= 3, "{tries} told, {heard} heard");
+    assert_eq!((&told["known_cache_nodes"], &told["skipped_cache_nodes"]), (&json!(1), &json!(0)));
+}
+
+#[test]
+fn what_is_on_its_way_is_in_progress_and_not_yet_a_try_until_it_is_written() {
+    let cache = Server::start(|_, _| Does::Hangs);
+    let (config, at) = managed(config(cache.addr, misses().addr));
+    let proxy = Proxy::start(&config);
+    let mut client = proxy.client();
+    client.begin("read", "a");
+    soon("in progress", || figures(at)["in_progress"] == json!(1));
+    soon("written", || figures(at)["upstream_tries"] == json!(1));
+    drop(client);
+    soon("a client gone is not in progress", || figures(at)["in_progress"] == json!(0));
+}
+
+/// Two caches, of which the first is the home of some of twenty keys.
+fn two_caches(first: &Server, second: &Server) -> Value {
+    let mut config = config(first.addr, misses().addr);
+    let servers = config["known"]["servers"].as_array_mut().expect("a list");
+    servers.push(entry("c2", second.addr, "cache", "ready"));
+    config
+}
+
+fn read_all(proxy: &Proxy, round: usize) {
+    let mut client = proxy.client();
+    for n in 0..20 {
+        let words = format!(
+            "GET /api/k{n} HTTP/1.1\r\nHost: o\r\nX-Request-Id: r{round}-{n}\r\nX-Class: read\r\nX-Deadline: 1\r\n\r\n"
+        );
+        client.send(&words);
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+}
+
+#[test]
+fn a_node_taken_out_gets_nothing_until_it_is_put_back_whatever_is_listed_and_whoever_serves() {
+    let answers = || Server::start(|_, _| Does::Answers(200, "value"));
+    let (first, second) = (answers(), answers());
+    let (mut config, at) = managed(two_caches(&first, &second));
+    // A discovery that tells the whole list anew all the time.
+    let mut whole = config["known"].clone();
+    whole["version"] = json!(2);
+    let whole: &'static str = whole.to_string().leak();
+    let discovery = Server::start(move |_, _| Does::Waits(Duration::from_millis(50), whole));
+    config["discovery"] = json!(discovery.addr.to_string());
+    let folder = Folder::new();
+    let proxy = Proxy::start_in(&config, &folder.0);
+    read_all(&proxy, 0);
+    let before = first.heard().len();
+    assert!(before > 0, "in use");
+    assert_eq!(post(at, "/api/exclude", &who("c")), 200);
+    assert_eq!(post(at, "/api/exclude", &who("c")), 200);
+    soon("its idle connections closed", || first.ended() >= 1);
+    soon("listed again and again", || discovery.heard().len() > 5);
+    read_all(&proxy, 1);
+    assert_eq!(first.heard().len(), before, "nothing while it is out");
+    let told = figures(at);
+    assert_eq!((&told["known_cache_nodes"], &told["skipped_cache_nodes"]), (&json!(2), &json!(1)));
+    drop(proxy);
+    let next = Proxy::start_in(&config, &folder.0);
+    read_all(&next, 2);
+    assert_eq!(first.heard().len(), before, "out for the one that follows too");
+    assert_eq!(post(at, "/api/include", &who("c")), 200, "two calls out need one back");
+    let start = Instant::now();
+    for round in 3.. {
+        read_all(&next, round);
+        if first.heard().len() > before {
+            break;
+        }
+        assert!(start.elapsed() < Duration::from_secs(5), "in use again within 5 s");
+    }
+    assert_eq!(figures(at)["skipped_cache_nodes"], json!(0));
+}
+
+#[test]
+fn what_cannot_be_recorded_is_refused_and_changes_nothing() {
+    let (first, second) = (misses(), misses());
+    let (config, at) = managed(two_caches(&first, &second));
+    let folder = Folder::new();
+    let _proxy = Proxy::start_in(&config, &folder.0);
+    std::fs::remove_dir_all(&folder.0).expect("gone");
+    assert_eq!(post(at, "/api/exclude", &who("c")), 507);
+    assert_eq!(figures(at)["skipped_cache_nodes"], json!(0));
+}
+
+#[test]
+fn a_torn_or_foreign_mark_counts_for_nothing() {
+    let (first, second) = (misses(), misses());
+    let (config, at) = managed(two_caches(&first, &second));
+    let folder = Folder::new();
+    let ours = folder.0.join("flintwell-n0");
+    std::fs::create_dir_all(&ours).expect("a folder");
+    for (file, text) in [
+        ("out-c", "{\"who\":\"c\",\"out_"),
+        ("out-c2", "{\"who\":\"c\",\"out_ms\":1,\"back_ms\":null}"),
+        ("out-x", "\u{0}\u{1}"),
+    ] {
+        std::fs::write(ours.join(file), text).expect("a file");
+    }
+    let _proxy = Proxy::start_in(&config, &folder.0);
+    assert_eq!(figures(at)["skipped_cache_nodes"], json!(0));
+    assert_eq!(post(at, "/api/exclude", &who("c")), 200);
+    assert_eq!(figures(at)["skipped_cache_nodes"], json!(1));
+}
