A new version takes over the clients' socket; list and nodes out go with it

Tests: two versions under load with every access answered, a killed successor, calls in force at both, the list left to a successor and a torn one, a descriptor that does not listen.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -207,7 +207,9 @@
         }
     }
     // Danger: a connection that the machine has accepted for us may hold an access already.
-    while let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await {
+    while !shutdown.succeeded()
+        && let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await
+    {
         admit(stream, clients.make_room(room).await, front.clone(), &clients);
     }
 }
--- a/crates/flintwell/src/main.rs
+++ b/crates/flintwell/src/main.rs
@@ -11,6 +11,7 @@
 mod discovery;
 mod front;
 mod handoff;
+mod inherit;
 mod link;
 mod log;
 mod management;
@@ -20,6 +21,7 @@
 mod serve;
 mod shutdown;
 mod store;
+mod succession;
 mod watch;
 
 use clap::{Parser, Subcommand};
--- a/crates/flintwell/src/pool.rs
+++ b/crates/flintwell/src/pool.rs
@@ -51,6 +51,11 @@
         })
     }
 
+    /// The room for connections.
+    pub fn room(&self) -> Arc<Semaphore> {
+        self.room.clone()
+    }
+
     /// As the list has it. A node that moved or started anew has closed what we hold open.
     pub fn place(&self, node: &NodeId, addr: SocketAddr, started_ms: f64, ready: bool) {
         let mut nodes = self.nodes.borrow_mut();
--- a/crates/flintwell/src/roster.rs
+++ b/crates/flintwell/src/roster.rs
@@ -7,7 +7,7 @@
 use flintwell_core::interface::{Entry, ListKind, Micros, NodeId, Standing};
 use flintwell_settings::Network;
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +16,7 @@
 const LOOK: Duration = Duration::from_millis(100); // between looks at what another process of ours was told
 const HANDS_MOST: usize = 1_024; // nodes out or lately back; far above what staff takes out by hand
 const FORGOTTEN: f64 = 600_000.0; // ms; after a node was put back; far longer than any takes to warm up
+const LIST: &str = "list"; // the name of the list's file
 const MARK: &str = "out-"; // begins the name of a node's file
 
 /// One entry as it stands on the wire.
@@ -102,6 +103,8 @@
     store: Store,
     lines: RefCell<BTreeMap<String, Line>>,
     hands: RefCell<BTreeMap<String, Hand>>,
+    /// Of the list, where it has changed since it was kept for a successor.
+    unkept: Cell<Option<u64>>,
 }
 
 impl Roster {
@@ -113,7 +116,16 @@
         store: Store,
     ) -> Rc<Self> {
         let hands = RefCell::new(recorded(&store));
-        Rc::new(Roster { network, origin_kind, pool, desk, store, lines: RefCell::default(), hands })
+        Rc::new(Roster {
+            network,
+            origin_kind,
+            pool,
+            desk,
+            store,
+            lines: RefCell::default(),
+            hands,
+            unkept: Cell::new(None),
+        })
     }
 
     /// What discovery told.
@@ -130,9 +142,29 @@
                 }
             }
         }
+        if kind != ListKind::Kept {
+            self.unkept.set(Some(listing.version));
+        }
         self.tell(&listing.servers, kind);
     }
 
+    /// The list that a forerunner of ours had last, if it left one.
+    pub fn left(&self) -> Option<Listing> {
+        let text = self.store.read(LIST)?;
+        let read = serde_json::from_slice::<Listing>(&text).map_err(|error| say!("{LIST}: {error}"));
+        read.ok().filter(|listing| listing.full)
+    }
+
+    /// Leaves the list to a successor.
+    fn leave(&self) {
+        let Some(version) = self.unkept.take() else { return };
+        let servers = self.lines.borrow().values().cloned().collect();
+        let text = serde_json::to_vec(&Listing { version, full: true, servers });
+        if let Ok(Err(error)) = text.map(|text| self.store.write(LIST, &text)) {
+            say!("{LIST} not kept: {error}");
+        }
+    }
+
     fn tell(&self, lines: &[Line], kind: ListKind) {
         if kind != ListKind::Changes {
             self.pool.forget_missing(|node| lines.iter().any(|line| *line.id == **node));
@@ -228,12 +260,14 @@
         Ok(())
     }
 
-    /// Follows what another process of ours was told, as it serves beside us.
+    /// Follows what another process of ours was told, as it serves beside us, and keeps the list for one that
+    /// may come.
     pub async fn follow(&self) {
         loop {
             sleep(LOOK).await;
             if self.store.keeps() {
                 self.look();
+                self.leave();
             }
         }
     }
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -8,6 +8,7 @@
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::handoff::HandOffs;
+use crate::inherit;
 use crate::management::{self, Office};
 use crate::pool::Pool;
 use crate::reload;
@@ -15,6 +16,7 @@
 use crate::say;
 use crate::shutdown;
 use crate::store::Store;
+use crate::succession::Succession;
 use crate::watch::Watch;
 use futures_util::FutureExt;
 use std::panic::AssertUnwindSafe;
@@ -50,8 +52,12 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     // An access holds a client's connection and one to a node at most: half of the room for each.
     let connections = (config.sockets - OWN_SOCKETS) / 2;
-    let listener =
-        accept::listen(config.listen).await.map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let inherited = inherit::listener()?;
+    let inherits = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => listener,
+        None => accept::listen(config.listen).await.map_err(|e| format!("listen {}: {e}", config.listen))?,
+    };
     let management = match config.management {
         Some(addr) => Some(accept::listen(addr).await.map_err(|e| format!("second address {addr}: {e}"))?),
         None => None,
@@ -72,10 +78,12 @@
     if let Some(watch) = watch {
         spawn_local(lasting("watch", async move || watch.tell().await));
     }
+    let succession = Succession::open(store.clone(), desk.clock.now());
+    let succession = Rc::new(succession.map_err(|e| format!("folder for temporary files: {e}"))?);
     let roster = Roster::new(network.clone(), origin_kind, pool.clone(), desk.clone(), store);
     let (moves, discovery_at) = watch::channel(config.discovery);
     let mut discovery = Discovery::new(discovery_at, roster.clone(), asked, seed);
-    discovery.start(&config.known);
+    discovery.start(roster.left().as_ref().unwrap_or(&config.known));
     let watched = desk.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
     let reloading = async move || reload::on_signal(&mut hangup, &path, &moves).await;
@@ -90,6 +98,9 @@
     spawn_local(lasting("sweep", async move || swept.sweep().await));
     let (stop, shutdown) = shutdown::new();
     let room = Arc::new(Semaphore::new(connections));
+    let rooms = [(room.clone(), connections), (pool.room(), connections)];
+    let sharing = succession.clone();
+    spawn_local(lasting("shares", async move || sharing.share(&rooms).await));
     if let Some(listener) = management {
         let (counts, desk, shutdown) = (counts.clone(), desk.clone(), shutdown.clone());
         let office = Rc::new(Office { counts, desk, roster, shutdown });
@@ -99,11 +110,13 @@
     let hand_offs = HandOffs::new(pool, counts.clone());
     let front = Front { desk, hand_offs, counts, network, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
+    succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
     say!("{} serves on {at}", config.name);
     let doors = room.clone();
     let accepting =
         spawn_local(lasting("accept", async move || accept::accept(&listener, &doors, &front).await));
-    let stopped = stop.on_signal(accepting, room, connections as u32, longest).await;
+    let successor = || inherits && succession.succeeded();
+    let stopped = stop.on_signal(accepting, room, connections as u32, longest, successor).await;
     stopped.map_err(|e| format!("signals: {e}"))
 }
 
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -1,7 +1,10 @@
 //! A planned stop, in steps: every answer closes its connection while clients still come; idle connections
-//! are closed while what crosses that can come again on a new one; the door closes; the rest is answered.
+//! are closed while what crosses that can come again on a new one; the door closes; the rest is answered. With
+//! a successor at the same socket the door closes at once.
 
 use crate::say;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
@@ -11,6 +14,7 @@
 
 const CALM: Duration = Duration::from_millis(450); // after the signal; clients still come for a while
 const DOOR: Duration = Duration::from_millis(100); // more; the way of an access that comes again
+const LAST: Duration = Duration::from_millis(600); // after the signal, with a successor; what comes is answered
 const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -23,57 +27,76 @@
 }
 
 #[derive(Clone)]
-pub struct Shutdown(watch::Receiver<Phase>);
+pub struct Shutdown {
+    phases: watch::Receiver<Phase>,
+    succeeded: Rc<Cell<bool>>,
+}
 
 impl Shutdown {
     /// Whether each answer is now the last on its connection.
     pub fn begun(&self) -> bool {
-        *self.0.borrow() > Phase::Serving
+        *self.phases.borrow() > Phase::Serving
     }
     pub async fn door_closed(&self) {
-        self.reached(Phase::DoorClosed).await;
+        self.reached(Phase::Begun).await;
+        if !self.succeeded.get() {
+            self.reached(Phase::DoorClosed).await;
+        }
+    }
+    /// Whether what still stands before the door is another's. Danger: taken in late, or looked at while it
+    /// closes, it would be lost with us.
+    pub fn succeeded(&self) -> bool {
+        self.succeeded.get()
     }
     /// When a connection accepted now is closed if idle. Danger: an access that crosses the closing, and
     /// finds the door closed when it comes again, is lost.
     pub fn idle_closed(&self) -> impl Future<Output = ()> + use<> {
-        let late = *self.0.borrow() >= Phase::IdleClosed;
+        let late = *self.phases.borrow() >= Phase::IdleClosed;
         let (shutdown, phase) = (self.clone(), if late { Phase::AllClosed } else { Phase::IdleClosed });
         async move { shutdown.reached(phase).await }
     }
     async fn reached(&self, least: Phase) {
         // An error means that the phases are over.
-        let _ = self.0.clone().wait_for(|phase| *phase >= least).await;
+        let _ = self.phases.clone().wait_for(|phase| *phase >= least).await;
     }
 }
 
-pub struct Stop(watch::Sender<Phase>);
+pub struct Stop {
+    phases: watch::Sender<Phase>,
+    succeeded: Rc<Cell<bool>>,
+}
 
 pub fn new() -> (Stop, Shutdown) {
     let (sender, receiver) = watch::channel(Phase::Serving);
-    (Stop(sender), Shutdown(receiver))
+    let succeeded = Rc::<Cell<bool>>::default();
+    (Stop { phases: sender, succeeded: succeeded.clone() }, Shutdown { phases: receiver, succeeded })
 }
 
 impl Stop {
     /// Waits for the signal, then sees the stop through: `accepting` ends once the door is closed, clients'
-    /// connections hold a part of `room`, and none has an access in hand for longer than `longest`.
+    /// connections hold a part of `room`, and none has an access in hand for longer than `longest`. Whether
+    /// another process goes on at our socket is asked at the signal.
     pub async fn on_signal(
         self,
         accepting: JoinHandle<()>,
         room: Arc<Semaphore>,
         connections: u32,
         longest: Duration,
+        successor: impl FnOnce() -> bool,
     ) -> std::io::Result<()> {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
-        say!("stopping");
-        self.0.send_replace(Phase::Begun);
-        for (wait, phase) in [(CALM, Phase::IdleClosed), (DOOR, Phase::DoorClosed), (LATE, Phase::AllClosed)]
+        self.succeeded.set(successor());
+        say!("stopping{}", if self.succeeded.get() { ", another goes on" } else { "" });
+        self.phases.send_replace(Phase::Begun);
+        let (calm, door) = if self.succeeded.get() { (LAST, Duration::ZERO) } else { (CALM, DOOR) };
+        for (wait, phase) in [(calm, Phase::IdleClosed), (door, Phase::DoorClosed), (LATE, Phase::AllClosed)]
         {
             sleep(wait).await;
-            self.0.send_replace(phase);
+            self.phases.send_replace(phase);
         }
         let rest = async {
             // Danger: counting who is left before the last are let in would leave those no room.
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -3,10 +3,13 @@
 use crate::support::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{ChildStderr, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -288,3 +291,134 @@
     assert_eq!(post(at, "/api/exclude", &who("c")), 200);
     assert_eq!(figures(at)["skipped_cache_nodes"], json!(1));
 }
+
+/// A process of a proxy whose clients' socket the platform holds.
+fn inheriting(socket: &TcpListener, config: &Value, folder: &Path) -> (Proxy, BufReader<ChildStderr>) {
+    let path = folder.join(format!("{}.json", config["mgmt"].as_str().unwrap_or("none")));
+    std::fs::write(&path, config.to_string()).expect("a file");
+    let held = socket.try_clone().expect("a clone");
+    let words =
+        "exec 3<&0 </dev/null; export EDGE_LISTEN_FD=3 LISTEN_FDS=1 LISTEN_PID=$$; exec \"$0\" \"$@\"";
+    let mut shell = Command::new("sh");
+    shell.args(["-c", words, PROGRAM, "serve", "--config"]).arg(&path);
+    shell.env("TMPDIR", folder).env_remove("EDGE_MGMT");
+    shell.stdin(Stdio::from(OwnedFd::from(held))).stdout(Stdio::null()).stderr(Stdio::piped());
+    let mut child = shell.spawn().expect("the program");
+    let log = BufReader::new(child.stderr.take().expect("its log"));
+    let addr = socket.local_addr().expect("an address");
+    (Proxy { child, addr, file: path }, log)
+}
+
+fn served_by(socket: &TcpListener, config: &Value, folder: &Path) -> (Proxy, SocketAddr) {
+    let (config, at) = managed(config.clone());
+    let (proxy, mut log) = inheriting(socket, &config, folder);
+    thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    soon("ready", || TcpStream::connect(at).is_ok() && get(at, "/api/ready").0 == 200);
+    (proxy, at)
+}
+
+/// Asks again and again, each access once more on a new connection if it crossed a closing; what came.
+fn asks_on(addr: SocketAddr, name: usize, done: &AtomicBool) -> BTreeMap<u16, usize> {
+    let mut came = BTreeMap::new();
+    let mut client = Client::at(addr);
+    for n in 0.. {
+        if done.load(Ordering::Relaxed) {
+            break;
+        }
+        client.begin("read", &format!("{name}-{n}"));
+        let answer = client.read().or_else(|| {
+            client = Client::at(addr);
+            client.begin("read", &format!("{name}-{n}"));
+            client.read()
+        });
+        let closes = answer.as_ref().is_none_or(|answer| answer.header("connection") == Some("close"));
+        *came.entry(answer.map_or(0, |answer| answer.status())).or_default() += 1;
+        // Some keep theirs, some come on a new one each time.
+        if closes || name.is_multiple_of(3) {
+            client = Client::at(addr);
+        }
+        thread::sleep(Duration::from_millis(if name.is_multiple_of(4) { 150 } else { 2 }));
+    }
+    came
+}
+
+#[test]
+fn two_versions_at_one_socket_answer_every_access_of_an_upgrade() {
+    let cache = Server::start(|_, _| Does::Waits(Duration::from_millis(5), "value"));
+    let config = config(cache.addr, misses().addr);
+    let (folder, socket) = (Folder::new(), TcpListener::bind("127.0.0.1:0").expect("a socket"));
+    let addr = socket.local_addr().expect("an address");
+    let (mut old, _) = served_by(&socket, &config, &folder.0);
+    let done = Arc::new(AtomicBool::new(false));
+    let load: Vec<_> = (0..16)
+        .map(|name| {
+            let done = done.clone();
+            thread::spawn(move || asks_on(addr, name, &done))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    for _ in 0..2 {
+        let (new, _) = served_by(&socket, &config, &folder.0);
+        old.signal("-TERM");
+        thread::sleep(Duration::from_millis(1_900));
+        let ended = old.child.try_wait().expect("to ask");
+        assert!(ended.is_some_and(|status| status.success()), "the old one has ended well: {ended:?}");
+        old = new;
+    }
+    done.store(true, Ordering::Relaxed);
+    let came: Vec<BTreeMap<u16, usize>> = load.into_iter().map(|one| one.join().expect("a client")).collect();
+    assert!(came.iter().all(|came| came.keys().eq([&200])), "{came:?}");
+}
+
+#[test]
+fn with_its_successor_killed_the_old_one_goes_on_and_stops_as_ever() {
+    let answers = || Server::start(|_, _| Does::Answers(200, "value"));
+    let config = config(answers().addr, answers().addr);
+    let (folder, socket) = (Folder::new(), TcpListener::bind("127.0.0.1:0").expect("a socket"));
+    let (old, at) = served_by(&socket, &config, &folder.0);
+    let (new, there) = served_by(&socket, &config, &folder.0);
+    assert_eq!(post(there, "/api/exclude", &who("c")), 200);
+    soon("a call at either is in force at both", || figures(at)["skipped_cache_nodes"] == json!(1));
+    assert_eq!(post(at, "/api/include", &who("c")), 200);
+    soon("back at both", || figures(there)["skipped_cache_nodes"] == json!(0));
+    drop(new);
+    for n in 0..5 {
+        assert_eq!(old.client().ask("read", &format!("a{n}")).status(), 200);
+    }
+    old.signal("-TERM");
+    soon("it stops", || get(at, "/api/ready").0 == 503);
+    assert_eq!(old.client().ask("read", "late").status(), 200, "clients still come for a while");
+}
+
+#[test]
+fn a_successor_knows_the_list_that_was_told_meanwhile() {
+    let (first, second) = (Server::start(|_, _| Does::Answers(200, "value")), misses());
+    let mut config = two_caches(&first, &second);
+    // Of two caches one has gone since the configuration was written.
+    let gone = r#"{"version":7,"full":false,"servers":[{"id":"c2","addr":"127.0.0.1:1","state":"gone"}]}"#;
+    let discovery = Server::start(move |_, n| if n == 0 { Does::Answers(200, gone) } else { Does::Hangs });
+    config["discovery"] = json!(discovery.addr.to_string());
+    let (folder, socket) = (Folder::new(), TcpListener::bind("127.0.0.1:0").expect("a socket"));
+    let (old, at) = served_by(&socket, &config, &folder.0);
+    soon("told", || figures(at)["known_cache_nodes"] == json!(1));
+    thread::sleep(Duration::from_millis(300));
+    let (_new, there) = served_by(&socket, &config, &folder.0);
+    assert_eq!(figures(there)["known_cache_nodes"], json!(1));
+    soon("it asks for what came since", || discovery.heard().iter().any(|m| m.first.contains("since=7")));
+    drop(old);
+    std::fs::write(folder.0.join("flintwell-n0/list"), "{\"version\":7,").expect("torn");
+    let (_third, third_at) = served_by(&socket, &config, &folder.0);
+    assert_eq!(figures(third_at)["known_cache_nodes"], json!(2), "the configuration's list");
+}
+
+#[test]
+fn what_is_no_listening_socket_is_told_in_one_line() {
+    let (folder, socket) = (Folder::new(), TcpListener::bind("127.0.0.1:0").expect("a socket"));
+    let stream = TcpStream::connect(socket.local_addr().expect("an address")).expect("a connection");
+    let not_listening = TcpListener::from(OwnedFd::from(stream));
+    let (mut proxy, mut log) = inheriting(&not_listening, &config(closed(), closed()), &folder.0);
+    let mut said = String::new();
+    log.read_to_string(&mut said).expect("its log");
+    assert!(said.lines().count() == 1 && said.contains("EDGE_LISTEN_FD is 3"), "{said}");
+    assert_eq!(proxy.child.wait().expect("its end").code(), Some(1));
+}
