--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -1,14 +1,15 @@
 //! Accepts clients' connections, as many as there is room for, and serves each until it ends.
 
+use crate::framing::Scanner;
 use crate::front::Front;
+use crate::relay::{Content, STALL};
 use crate::say;
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Response;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use std::any::Any;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
@@ -23,11 +24,10 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 use tower::ServiceBuilder;
-use tower_http::catch_panic::CatchPanicLayer;
 
 const BACKLOG: u32 = 1_024; // connections; those waiting while accept pauses at the limit
 const IDLE_MOST: Duration = Duration::from_secs(10); // a connection with no access for this long is closed
-const HEAD_WITHIN: Duration = Duration::from_millis(1_500); // from a connection's start, or a head's, to its end
+const HEAD_WITHIN: Duration = Duration::from_millis(2_400); // from a connection's start, or a head's, to its end
 const FRESH: Duration = Duration::from_millis(50); // for which a new connection is kept, whoever waits
 const USED: Duration = Duration::from_secs(1); // the same after an access, while few are such
 const USED_SHARE: usize = 4; // one in so many open ones idle after an access is many
@@ -57,13 +57,24 @@
     /// Since when it owes us the end of a head.
     owes: Cell<Option<Instant>>,
     close: Rc<Notify>,
+    /// How its messages are framed.
+    scanner: RefCell<Scanner>,
+    /// Since when it takes nothing of what is written to it.
+    full: Cell<Option<Instant>>,
 }
 
 impl Clients {
     fn enter(self: &Rc<Self>) -> Rc<Client> {
         self.open.set(self.open.get() + 1);
         let owes = Cell::new(Some(Instant::now()));
-        let client = Client { clients: self.clone(), idle: Cell::default(), owes, close: Rc::default() };
+        let client = Client {
+            clients: self.clone(),
+            idle: Cell::default(),
+            owes,
+            close: Rc::default(),
+            scanner: RefCell::default(),
+            full: Cell::default(),
+        };
         // Danger: a fresh connection's first access may be on the way, and the next one's too.
         client.idles(false, FRESH);
         Rc::new(client)
@@ -116,6 +127,42 @@
             tokio::time::sleep(left).await;
         }
     }
+    /// Ends once it has taken nothing for too long.
+    async fn stands_still(&self) {
+        while self.full.get().is_none_or(|since| since.elapsed() < STALL) {
+            tokio::time::sleep(STALL / 8).await;
+        }
+    }
+}
+
+/// An answer's body, until the end of which its client counts as busy.
+struct Answering {
+    content: Content,
+    client: Rc<Client>,
+}
+
+impl Body for Answering {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.content).poll_frame(cx)
+    }
+    fn is_end_stream(&self) -> bool {
+        self.content.is_end_stream()
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.content.size_hint()
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.client.idles(true, USED);
+    }
 }
 
 /// A client's stream, which tells when a head begins.
@@ -136,6 +183,7 @@
         if idle && buf.filled().len() > before {
             self.client.owes.set(Some(Instant::now()));
         }
+        self.client.scanner.borrow_mut().read(&buf.filled()[before..]);
         read
     }
 }
@@ -146,7 +194,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let since = self.client.full.get().or_else(|| Some(Instant::now()));
+        self.client.full.set(since.filter(|_| wrote.is_pending()));
+        wrote
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         Pin::new(&mut self.stream).poll_flush(cx)
@@ -218,19 +269,21 @@
     let idle_closed = front.shutdown.idle_closed();
     let client = clients.enter();
     let stack = ServiceBuilder::new()
-        .map_future({
+        .map_response({
             let client = client.clone();
-            move |answer| {
-                client.busy();
+            move |answer: Response<Content>| {
                 let client = client.clone();
-                async move {
-                    let answer = answer.await;
-                    client.idles(true, USED);
-                    answer
-                }
+                answer.map(|content| Answering { content, client })
+            }
+        })
+        .map_request({
+            let client = client.clone();
+            move |mut request: Request<Incoming>| {
+                client.busy();
+                request.extensions_mut().insert(client.scanner.borrow_mut().next());
+                request
             }
         })
-        .layer(CatchPanicLayer::custom(panicked))
         .service(front);
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_MOST).max_buf_size(BUFFER);
@@ -247,6 +300,7 @@
             biased;
             _ = connection.as_mut() => return,
             () = client.head_overdue() => return,
+            () = client.stands_still() => return,
             () = client.close.notified() => connection.as_mut().graceful_shutdown(),
             () = idle_closed => connection.as_mut().graceful_shutdown(),
         }
@@ -257,8 +311,3 @@
         }
     });
 }
-
-/// A panic stops here: the access it struck is broken off, the others go on.
-fn panicked(_: Box<dyn Any + Send>) -> Response<Full<Bytes>> {
-    crate::answer::Answer::BrokenOff.encode(true)
-}
--- a/crates/flintwell/src/access.rs
+++ b/crates/flintwell/src/access.rs
@@ -3,22 +3,26 @@
 use crate::answer::Answer;
 use crate::counts::Counts;
 use crate::decode::Access;
-use crate::desk::{Desk, Step};
+use crate::desk::{Desk, Seat, Step};
 use crate::handoff::{HandOff, HandOffs};
+use crate::relay::Content;
 use flintwell_core::interface::Ending;
 use std::rc::Rc;
 use tower::ServiceExt;
 
-pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs, counts: &Counts) -> Answer {
-    let (_in_hand, case) = (counts.takes(), access.use_case);
-    let answer = decide(access, desk, hand_offs).await;
+pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs, counts: &Rc<Counts>) -> Answer {
+    let (in_hand, case) = (counts.takes(), access.use_case);
+    let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
+    let mut answer = decide(access, &mut seat, desk, hand_offs).await;
     counts.ended(case, &answer);
+    if let Answer::Honoured(Content::Long(relay)) = &mut answer {
+        relay.carries(seat, in_hand, counts.clone(), case);
+    }
     answer
 }
 
-async fn decide(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs) -> Answer {
+async fn decide(access: Access, seat: &mut Seat, desk: &Rc<Desk>, hand_offs: &HandOffs) -> Answer {
     let access = Rc::new(access);
-    let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
     let outer_limit = access.outer_limit(desk.pulse.waited_from());
     seat.arrives(access.arrival(outer_limit));
     loop {
@@ -36,7 +40,13 @@
                             return Answer::Honoured(answered.body);
                         }
                     }
-                    Err(broken) => seat.ended(broken.ending(), wait, false),
+                    Err(broken) => {
+                        // A body that is not kept had this one hand-off.
+                        if let Some(why) = access.body.passing().and_then(|end| end.broken.take()) {
+                            return Answer::Malformed(why);
+                        }
+                        seat.ended(broken.ending(), wait, false);
+                    }
                 }
             }
             Some(Step::TurnBack { stay_away }) => return Answer::TurnedBack { stay_away },
--- /dev/null
+++ b/crates/flintwell/src/body.rs
@@ -0,0 +1,298 @@
+//! The body of an access: kept whole while the process has room for it, else passed on to one node as it comes.
+
+use crate::decode::Malformed;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::cell::Cell;
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep, sleep, timeout_at};
+
+pub const LONGEST: u64 = 32 << 20; // bytes; the longest body or answer that there is
+const WITHIN: Duration = Duration::from_millis(1_300); // for a body beyond what its bytes take; a bad one is told soon
+const RATE: u64 = 48_000; // bytes a second; slow clients have 64,000
+const STALL: Duration = Duration::from_millis(2_500); // between two pieces of a body that is passed on as it comes
+const BLOCK: usize = 65_536; // bytes of a body kept together; pieces come in any size
+const BLOCK_FIRST: usize = 4_096; // bytes kept of one whose length is not told
+
+/// Bytes of bodies that this process may keep.
+pub struct Budget(Cell<usize>);
+
+impl Budget {
+    pub fn new(bytes: usize) -> Rc<Self> {
+        Rc::new(Budget(Cell::new(bytes)))
+    }
+    fn take(&self, bytes: usize) -> bool {
+        let left = self.0.get().checked_sub(bytes);
+        left.inspect(|left| self.0.set(*left)).is_some()
+    }
+    fn give_back(&self, bytes: usize) {
+        self.0.set(self.0.get() + bytes);
+    }
+}
+
+/// What was kept of a body, in blocks within the budget.
+pub struct Kept {
+    blocks: VecDeque<Bytes>,
+    last: BytesMut,
+    held: usize,
+    length: u64,
+    budget: Rc<Budget>,
+}
+
+impl Kept {
+    fn new(budget: Rc<Budget>) -> Self {
+        Kept { blocks: VecDeque::new(), last: BytesMut::new(), held: 0, length: 0, budget }
+    }
+
+    /// Danger: pieces kept as they come cost many times their bytes where they are small. What does not fit into
+    /// the budget is left in `data`.
+    fn push(&mut self, data: &mut Bytes, told: Option<u64>) -> bool {
+        while !data.is_empty() {
+            if self.last.len() == self.last.capacity() {
+                let left = told.map_or(u64::MAX, |told| told.saturating_sub(self.length)).max(1);
+                let most = if told.is_none() && self.length == 0 { BLOCK_FIRST } else { BLOCK };
+                let block = most.min(usize::try_from(left).unwrap_or(most));
+                if !self.budget.take(block) {
+                    return false;
+                }
+                self.held += block;
+                self.seal();
+                self.last = BytesMut::with_capacity(block);
+            }
+            let piece = data.split_to(data.len().min(self.last.capacity() - self.last.len()));
+            self.length += piece.len() as u64;
+            self.last.extend_from_slice(&piece);
+        }
+        true
+    }
+
+    fn seal(&mut self) {
+        let last = std::mem::take(&mut self.last).freeze();
+        if !last.is_empty() {
+            self.blocks.push_back(last);
+        }
+    }
+}
+
+impl Drop for Kept {
+    fn drop(&mut self) {
+        self.budget.give_back(self.held);
+    }
+}
+
+/// A body that comes in while it goes out.
+pub struct Passing {
+    kept: Kept,
+    next: Bytes,
+    rest: Incoming,
+    told: Option<u64>,
+    stalled: Pin<Box<Sleep>>,
+    waits: bool,
+    end: Rc<End>,
+}
+
+/// How a body that is passed on has ended.
+#[derive(Default)]
+pub struct End {
+    pub whole: Notify,
+    pub broken: Cell<Option<Malformed>>,
+}
+
+pub enum Payload {
+    Kept(Rc<Kept>),
+    /// None once its one hand-off has it.
+    Passing(Cell<Option<Box<Passing>>>, Rc<End>),
+}
+
+impl Payload {
+    /// The whole body, or as much as there was room for.
+    pub async fn receive(mut body: Incoming, budget: &Rc<Budget>) -> Result<Self, Malformed> {
+        let told = body.size_hint().exact();
+        if told.is_some_and(|told| told > LONGEST) {
+            return Err(Malformed::BodyTooLong);
+        }
+        let (start, mut kept, mut length) = (Instant::now(), Kept::new(budget.clone()), 0);
+        loop {
+            // Danger: one fixed time is too short for a long body, and lets a short one stand for long.
+            let due = start + WITHIN + Duration::from_micros(length * 1_000_000 / RATE);
+            let frame = match timeout_at(due, body.frame()).await {
+                Err(_) => return Err(Malformed::BodyLate),
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return Err(Malformed::BodyBroken),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            // What comes behind a body in a trailer is no part of it.
+            let Ok(mut data) = frame.into_data() else { continue };
+            length += data.len() as u64;
+            if length > LONGEST {
+                return Err(Malformed::BodyTooLong);
+            }
+            if !kept.push(&mut data, told) {
+                kept.seal();
+                let end = Rc::<End>::default();
+                let stalled = Box::pin(sleep(STALL));
+                let passing =
+                    Passing { kept, next: data, rest: body, told, stalled, waits: false, end: end.clone() };
+                return Ok(Payload::Passing(Cell::new(Some(Box::new(passing))), end));
+            }
+        }
+        kept.seal();
+        Ok(Payload::Kept(Rc::new(kept)))
+    }
+
+    /// The body for a hand-off; none if an earlier one has taken it.
+    pub fn hand_out(&self) -> Option<Outgoing> {
+        match self {
+            Payload::Kept(kept) => Some(Outgoing::Kept { kept: kept.clone(), sent: 0 }),
+            Payload::Passing(passing, _) => passing.take().map(Outgoing::Passing),
+        }
+    }
+
+    /// Where it is passed on as it comes: how it has ended, if it has.
+    pub fn passing(&self) -> Option<&End> {
+        match self {
+            Payload::Kept(_) => None,
+            Payload::Passing(_, end) => Some(end),
+        }
+    }
+
+    /// How long a client may still take to send it.
+    pub fn takes(&self) -> Duration {
+        match self {
+            Payload::Kept(_) => Duration::ZERO,
+            Payload::Passing(..) => WITHIN + Duration::from_micros(LONGEST * 1_000_000 / RATE),
+        }
+    }
+}
+
+/// A body on its way to a node.
+pub enum Outgoing {
+    Empty,
+    Kept { kept: Rc<Kept>, sent: usize },
+    Passing(Box<Passing>),
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        match self.get_mut() {
+            Outgoing::Empty => Poll::Ready(None),
+            Outgoing::Kept { kept, sent } => {
+                *sent += 1;
+                Poll::Ready(kept.blocks.get(*sent - 1).cloned().map(|block| Ok(Frame::data(block))))
+            }
+            Outgoing::Passing(passing) => passing.poll(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Outgoing::Empty => true,
+            Outgoing::Kept { kept, sent } => *sent >= kept.blocks.len(),
+            Outgoing::Passing(passing) => passing.ended(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Outgoing::Empty => SizeHint::with_exact(0),
+            Outgoing::Kept { kept, .. } => SizeHint::with_exact(kept.length),
+            Outgoing::Passing(passing) => passing.told.map_or_else(SizeHint::default, SizeHint::with_exact),
+        }
+    }
+}
+
+impl Passing {
+    fn ended(&self) -> bool {
+        self.kept.blocks.is_empty() && self.next.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let next = match self.kept.blocks.pop_front() {
+            Some(block) => {
+                // What is sent needs its room no more.
+                let held = block.len().min(self.kept.held);
+                self.kept.held -= held;
+                self.kept.budget.give_back(held);
+                block
+            }
+            None => std::mem::take(&mut self.next),
+        };
+        if !next.is_empty() {
+            self.waits = false;
+            return Poll::Ready(Some(Ok(self.piece(next))));
+        }
+        loop {
+            match Pin::new(&mut self.rest).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    let Ok(data) = frame.into_data() else { continue };
+                    self.waits = false;
+                    self.kept.length += data.len() as u64;
+                    if self.kept.length > LONGEST {
+                        return self.breaks(Malformed::BodyTooLong);
+                    }
+                    return Poll::Ready(Some(Ok(self.piece(data))));
+                }
+                Poll::Ready(Some(Err(_))) => return self.breaks(Malformed::BodyBroken),
+                Poll::Ready(None) => {
+                    self.end.whole.notify_one();
+                    return Poll::Ready(None);
+                }
+                Poll::Pending => {
+                    // Only the time in which its client is waited for counts.
+                    if !std::mem::replace(&mut self.waits, true) {
+                        self.stalled.as_mut().reset(Instant::now() + STALL);
+                    }
+                    return match self.stalled.as_mut().poll(cx) {
+                        Poll::Ready(()) => self.breaks(Malformed::BodyLate),
+                        Poll::Pending => Poll::Pending,
+                    };
+                }
+            }
+        }
+    }
+
+    fn piece(&self, data: Bytes) -> Frame<Bytes> {
+        if self.ended() {
+            self.end.whole.notify_one();
+        }
+        Frame::data(data)
+    }
+
+    fn breaks(&self, why: Malformed) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        self.end.broken.set(Some(why));
+        Poll::Ready(Some(Err(io::Error::other("the client's body is not whole"))))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_kept_stays_within_the_budget_whatever_the_pieces_are() {
+        let budget = Budget::new(200_000);
+        let mut kept = Kept::new(budget.clone());
+        for _ in 0..100_000 {
+            assert!(kept.push(&mut Bytes::from_static(b"x"), Some(100_000)));
+        }
+        assert!(kept.held >= 100_000 && budget.0.get() == 200_000 - kept.held, "{}", kept.held);
+        kept.seal();
+        assert_eq!(kept.blocks.iter().map(Bytes::len).sum::<usize>(), 100_000);
+        let mut other = Kept::new(budget.clone());
+        let mut data = Bytes::from(vec![0; 150_000]);
+        assert!(!other.push(&mut data, Some(150_000)), "no more room");
+        assert_eq!(other.length + data.len() as u64, 150_000, "nothing lost");
+        drop((kept, other));
+        assert_eq!(budget.0.get(), 200_000);
+    }
+}
--- a/crates/flintwell/src/config.rs
+++ b/crates/flintwell/src/config.rs
@@ -10,12 +10,17 @@
 
 const SOCKETS: usize = 1_024; // descriptors; the usual limit of a process, where none is given
 const MANAGEMENT: &str = "EDGE_MGMT"; // names the second address
+const MEMORY: f64 = 64.0; // MB; where none is given
+const MEGABYTE: f64 = 1_048_576.0; // bytes
+const BODIES: f64 = 0.25; // of the memory, for bodies; the rest for connections and what is passed on
 const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
 
 #[derive(Deserialize)]
 struct Limits {
     #[serde(default)]
     sockets: Option<usize>,
+    #[serde(default)]
+    memory_mb: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -45,6 +50,8 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
+    /// Bytes of bodies that may be kept.
+    pub bodies: usize,
     pub known: Listing,
     pub settings: Settings,
     pub watch_with: Option<Settings>,
@@ -59,7 +66,8 @@
 
 fn decode_config(text: &[u8]) -> Result<Config, String> {
     let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let sockets = file.limits.and_then(|limits| limits.sockets).unwrap_or(SOCKETS);
+    let sockets = file.limits.as_ref().and_then(|limits| limits.sockets).unwrap_or(SOCKETS);
+    let memory = file.limits.and_then(|limits| limits.memory_mb).unwrap_or(MEMORY).max(0.0);
     if sockets < SOCKETS_LEAST {
         return Err(format!("limits.sockets is {sockets}; {SOCKETS_LEAST} are the least"));
     }
@@ -76,6 +84,7 @@
         discovery: file.discovery,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?,
         sockets,
+        bodies: (memory * MEGABYTE * BODIES) as usize,
         known: file.known,
         network: decode_network(&file.settings)?,
         settings,
--- a/crates/flintwell/src/counts.rs
+++ b/crates/flintwell/src/counts.rs
@@ -1,6 +1,7 @@
 //! The figures that the second address tells, counted where the thing happens.
 
 use crate::answer::Answer;
+use crate::relay::Content;
 use serde::Serialize;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -64,13 +65,21 @@
     pub fn ended(&self, case: usize, answer: &Answer) {
         let Some((_, ended)) = self.cases.get(case) else { return };
         match answer {
-            Answer::Honoured(_) => one_more(&ended.honoured),
+            Answer::Honoured(Content::Whole(_)) => one_more(&ended.honoured),
+            // It counts when it is passed on.
+            Answer::Honoured(Content::Long(_)) => {}
             Answer::TurnedBack { .. } => one_more(&ended.turned_back),
             Answer::BrokenOff => one_more(&ended.broken_off),
             Answer::Malformed(_) | Answer::InHand | Answer::Ready(_) => {}
         }
     }
 
+    /// A long answer, passed on whole or broken half-way.
+    pub fn passed_on(&self, case: usize, whole: bool) {
+        let Some((_, ended)) = self.cases.get(case) else { return };
+        one_more(if whole { &ended.honoured } else { &ended.broken_off });
+    }
+
     pub fn figures(&self, known: usize, skipped: usize) -> Figures<'_> {
         let by = |count: fn(&Ended) -> &Cell<u64>| {
             self.cases.iter().map(|(case, ended)| (case.as_str(), count(ended).get())).collect()
--- a/crates/flintwell/src/decode.rs
+++ b/crates/flintwell/src/decode.rs
@@ -1,18 +1,15 @@
 //! An access, decoded once from a client's message into a small typed value.
 
-use bytes::Bytes;
+use crate::body::{Budget, Payload};
+use crate::framing::Framing;
 use flintwell_core::interface::{AccessId, Arrival, Key, Micros};
 use flintwell_settings::Network;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
-use std::time::Duration;
-use tokio::time::timeout;
+use std::rc::Rc;
 
-pub const BODY_MOST: usize = 65_536; // bytes; the protocol's limit on a body
-const BODY_WITHIN: Duration = Duration::from_millis(1_300); // more than outer limits leave an access that answers
 const ONCE: [&str; 5] = ["host", "x-request-id", "x-class", "x-deadline", "idempotency-key"]; // headers
 const MARGIN: Micros = 10_000; // us; the way back to the client, and the turn of our one core
 const LIMIT_MOST: f64 = 3_600.0; // s; a longer outer limit is no client's
@@ -24,7 +21,7 @@
     pub host: Option<HeaderValue>,
     pub method: Method,
     pub path: Uri,
-    pub body: Bytes,
+    pub body: Payload,
     pub use_case: usize,
     tenant: usize,
     key: Option<Key>,
@@ -38,30 +35,30 @@
 pub enum Malformed {
     Method,
     Header(&'static str),
-    Unmeasured,
+    Doubtful,
     BodyTooLong,
     BodyBroken,
     BodyLate,
 }
 
 impl Access {
-    pub async fn decode(request: Request<Incoming>, network: &Network) -> Result<Self, Malformed> {
+    pub async fn decode(
+        request: Request<Incoming>,
+        framing: Framing,
+        network: &Network,
+        budget: &Rc<Budget>,
+    ) -> Result<Self, Malformed> {
         let (head, body) = request.into_parts();
         // Danger: a length beside a transfer encoding hides another access in the body, and is taken out of
-        // the head before we see it. So a body comes with its length, and in no other way.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return Err(Malformed::Unmeasured);
+        // the head before we see it.
+        if framing == Framing::Doubtful {
+            return Err(Malformed::Doubtful);
         }
-        let body = match timeout(BODY_WITHIN, Limited::new(body, BODY_MOST).collect()).await {
-            Err(_) => return Err(Malformed::BodyLate),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(Malformed::BodyTooLong),
-            Ok(Err(_)) => return Err(Malformed::BodyBroken),
-            Ok(Ok(body)) => body.to_bytes(),
-        };
+        let body = Payload::receive(body, budget).await?;
         Self::from_parts(head, body, network)
     }
 
-    fn from_parts(head: Parts, body: Bytes, network: &Network) -> Result<Self, Malformed> {
+    fn from_parts(head: Parts, body: Payload, network: &Network) -> Result<Self, Malformed> {
         let Parts { method, uri: path, headers, .. } = head;
         if method != Method::GET && method != Method::PUT {
             return Err(Malformed::Method);
@@ -105,7 +102,7 @@
 
     /// When its answer is due, if its client may have sent it at `sent`.
     pub fn outer_limit(&self, sent: Micros) -> Micros {
-        sent + (self.waits - MARGIN).max(0)
+        sent + self.body.takes().as_micros() as Micros + (self.waits - MARGIN).max(0)
     }
 
     pub fn arrival(&self, outer_limit: Micros) -> Arrival {
--- a/crates/flintwell/src/discovery.rs
+++ b/crates/flintwell/src/discovery.rs
@@ -1,14 +1,14 @@
 //! Asks discovery for the list of nodes, decodes what it tells, and passes it on.
 
+use crate::body::Outgoing;
 use crate::clock::span;
 use crate::desk::Desk;
-use crate::link::{Broken, Cause, Link, Progress};
+use crate::link::{Broken, Came, Cause, Link, Most, Progress};
 use crate::roster::{Listing, Roster};
 use crate::say;
 use bytes::Bytes;
 use flintwell_core::interface::{ListKind, Micros};
 use futures_util::FutureExt;
-use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use rand::{Rng, SeedableRng};
@@ -23,7 +23,7 @@
 const GRACE: Duration = Duration::from_secs(2); // beyond it, for the way and for discovery's other calls
 const DIAL: Duration = Duration::from_secs(1); // for a connection to come up; far above any way there
 const PACE: Duration = Duration::from_millis(100); // between empty answers; well under what ends a watch
-const LIST_MOST: usize = 4 << 20; // bytes; a list of ten thousand nodes
+const LIST_MOST: u64 = 4 << 20; // bytes; a list of ten thousand nodes
 const RETRY: Micros = 250_000; // us; first wait after a failed call, where the module does not set it
 const RETRY_DOUBLINGS: u32 = 4; // of that wait; 4 s at most, or changes are told late
 
@@ -142,15 +142,16 @@
         };
         let since = |version| format!("?since={version}&timeout_ms={}", WATCH.as_millis());
         let path = format!("/registry/instances{}", self.version.map_or_else(String::new, since));
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Outgoing::Empty);
         let garbage = |words| progress.broken(Cause::Garbage(words));
         *request.uri_mut() = path.parse().map_err(|_| garbage(path))?;
         request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
-        let reply = link.exchange(request, LIST_MOST, progress).await?;
+        let reply = link.exchange(request, Most { collected: LIST_MOST, long: LIST_MOST }, progress).await?;
         if reply.status != StatusCode::OK {
             return Err(garbage(format!("status {}", reply.status)));
         }
+        let Came::Whole(body) = reply.body else { return Err(garbage("a list without end".into())) };
         self.link = Some(link);
-        Ok(reply.body)
+        Ok(body)
     }
 }
--- a/crates/flintwell/src/front.rs
+++ b/crates/flintwell/src/front.rs
@@ -2,18 +2,21 @@
 
 use crate::access;
 use crate::answer::Answer;
+use crate::body::Budget;
 use crate::counts::Counts;
 use crate::decode::Access;
 use crate::desk::Desk;
+use crate::framing::Framing;
 use crate::handoff::HandOffs;
+use crate::relay::Content;
 use crate::shutdown::Shutdown;
-use bytes::Bytes;
 use flintwell_settings::Network;
+use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use tower::Service;
@@ -24,11 +27,24 @@
     pub hand_offs: HandOffs,
     pub counts: Rc<Counts>,
     pub network: Rc<Network>,
+    pub budget: Rc<Budget>,
     pub shutdown: Shutdown,
 }
 
+impl Front {
+    async fn answer(&self, request: Request<Incoming>, framing: Framing) -> Answer {
+        if request.uri().path() == "/health/ready" {
+            return Answer::Ready(!self.shutdown.begun());
+        }
+        match Access::decode(request, framing, &self.network, &self.budget).await {
+            Ok(access) => access::serve(access, &self.desk, &self.hand_offs, &self.counts).await,
+            Err(malformed) => Answer::Malformed(malformed),
+        }
+    }
+}
+
 impl Service<Request<Incoming>> for Front {
-    type Response = Response<Full<Bytes>>;
+    type Response = Response<Content>;
     type Error = Infallible;
     type Future = LocalBoxFuture<'static, Result<Self::Response, Infallible>>;
 
@@ -39,14 +55,12 @@
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let front = self.clone();
         Box::pin(async move {
-            let answer = match request.uri().path() {
-                "/health/ready" => Answer::Ready(!front.shutdown.begun()),
-                _ => match Access::decode(request, &front.network).await {
-                    Ok(access) => access::serve(access, &front.desk, &front.hand_offs, &front.counts).await,
-                    Err(malformed) => Answer::Malformed(malformed),
-                },
-            };
-            Ok(answer.encode(front.shutdown.begun()))
+            let framing = request.extensions().get().copied().unwrap_or(Framing::Doubtful);
+            // A panic stops here: the access it struck is broken off, the others go on.
+            let answered = AssertUnwindSafe(front.answer(request, framing)).catch_unwind().await;
+            let answer = answered.unwrap_or(Answer::BrokenOff);
+            // Danger: what comes behind a chunked body is not told apart by its raw bytes.
+            Ok(answer.encode(front.shutdown.begun() || framing == Framing::Coded))
         })
     }
 }
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -1,23 +1,24 @@
 //! One hand-off: an access sent to one node over one connection, and how it ended.
 
+use crate::body::{LONGEST, Outgoing};
 use crate::clock::span;
 use crate::counts::Counts;
-use crate::decode::{Access, BODY_MOST};
-use crate::link::{Broken, Cause, Link, Progress, Reply};
+use crate::decode::Access;
+use crate::link::{Broken, Came, Cause, Link, Most, Progress};
 use crate::pool::Pool;
-use bytes::Bytes;
+use crate::relay::{Content, Relay};
 use flintwell_core::interface::{Ending, Micros, NodeId};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
-use http_body_util::Full;
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode};
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tower::Service;
 
+const ANSWER: Most = Most { collected: 65_536, long: LONGEST }; // bytes; spoilt ones can be tried elsewhere
 const TURNS: usize = 3; // of the runtime: the socket's, the connection's and our own
 
 pub struct HandOff {
@@ -31,7 +32,7 @@
     pub ending: Ending,
     /// The first answer on its connection.
     pub first: bool,
-    pub body: Bytes,
+    pub body: Content,
 }
 
 #[derive(Clone)]
@@ -60,6 +61,14 @@
         Box::pin(async move {
             let progress = Progress::counted(&counts.hand_offs);
             let mut exchange = pin!(send(&pool, &hand_off, &progress));
+            if let Some(end) = hand_off.access.body.passing() {
+                // Its time counts from its last byte.
+                tokio::select! {
+                    ended = exchange.as_mut() => return ended,
+                    () = end.whole.notified() => {}
+                    () = sleep(hand_off.access.body.takes()) => {}
+                }
+            }
             if let Ok(ended) = timeout(span(hand_off.allow_for), exchange.as_mut()).await {
                 return ended;
             }
@@ -74,14 +83,25 @@
     }
 }
 
-async fn send(pool: &Pool, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
+async fn send(pool: &Rc<Pool>, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
     let mut link = open(pool, &hand_off.node).await?;
     let (idle, first) = (link.idle_since.elapsed(), link.unused());
-    let reply = link.exchange(message(hand_off), BODY_MOST, progress).await;
+    let body = hand_off.access.body.hand_out().ok_or(Broken::unwritten(Cause::Spent))?;
+    let reply = link.exchange(message(hand_off, body), ANSWER, progress).await;
     pool.used_after(idle, reply.as_ref().is_err_and(|broken| broken.ending() == Ending::Reset));
     let reply = reply?;
-    pool.give_back(&hand_off.node, link);
-    Ok(answered(reply, first))
+    let ending = ending(reply.status, &reply.headers);
+    let body = match reply.body {
+        Came::Whole(body) => {
+            pool.give_back(&hand_off.node, link);
+            body.into()
+        }
+        Came::Long(begun, rest, left) => {
+            let (node, pool) = (hand_off.node.clone(), pool.clone());
+            Content::Long(Box::new(Relay::new(begun, rest, left, node, pool, link)))
+        }
+    };
+    Ok(Answered { ending, first, body })
 }
 
 /// An idle connection that still takes an exchange, or a new one.
@@ -94,9 +114,9 @@
     pool.dial(node).await
 }
 
-fn message(hand_off: &HandOff) -> Request<Full<Bytes>> {
+fn message(hand_off: &HandOff, body: Outgoing) -> Request<Outgoing> {
     let access = &hand_off.access;
-    let mut message = Request::new(Full::new(access.body.clone()));
+    let mut message = Request::new(body);
     *message.method_mut() = access.method.clone();
     *message.uri_mut() = access.path.clone();
     let headers = message.headers_mut();
@@ -112,14 +132,13 @@
     message
 }
 
-fn answered(reply: Reply, first: bool) -> Answered {
-    let not_run = reply.headers.get("x-not-run").is_some_and(|value| value == "1");
-    let ending = match reply.status {
+fn ending(status: StatusCode, headers: &HeaderMap) -> Ending {
+    let not_run = headers.get("x-not-run").is_some_and(|value| value == "1");
+    match status {
         StatusCode::OK => Ending::Honoured,
         StatusCode::NOT_FOUND => Ending::Miss,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
         status if status.is_server_error() => Ending::Error,
         _ => Ending::Unknown,
-    };
-    Answered { ending, first, body: reply.body }
+    }
 }
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -1,16 +1,16 @@
 //! One connection to a cache node, the origin or discovery: an exchange at a time, nothing sent again.
 
+use crate::body::Outgoing;
 use crate::counts::Count;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use flintwell_core::interface::Ending;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::Cell;
-use std::convert::Infallible;
 use std::error::Error;
 use std::fmt;
 use std::io;
@@ -25,7 +25,8 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
 
-const BUFFER: usize = 65_536; // bytes a connection reads ahead at most; some hundreds share our memory
+const BUFFER: usize = 32_768; // bytes a connection reads ahead at most; some hundreds share our memory
+const SHORT: u64 = 65_536; // bytes of a body; what is longer is surely not written with its head
 
 /// How far an exchange had come when it broke.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,7 +34,7 @@
     /// No connection, or nothing of this exchange written to it: it never ran.
     #[default]
     Unwritten,
-    /// Written in part or whole; in doubt it may have run.
+    /// Written whole, or a short one in part; in doubt it may have run.
     Written,
 }
 
@@ -46,6 +47,8 @@
     Unlisted,
     /// We have no descriptor left for a connection.
     NoRoom,
+    /// An earlier hand-off took the body, which is not kept.
+    Spent,
 }
 
 /// An exchange that broke.
@@ -61,11 +64,11 @@
     }
     pub fn ending(&self) -> Ending {
         match (self.stage, &self.cause) {
-            (Stage::Unwritten, Cause::Unlisted | Cause::NoRoom) => Ending::NotSent,
+            (Stage::Unwritten, Cause::Unlisted | Cause::NoRoom | Cause::Spent) => Ending::NotSent,
             (Stage::Unwritten, _) => Ending::ConnectFailed,
             (_, Cause::TimedOut) => Ending::TimedOut,
             (_, Cause::Garbage(_)) => Ending::Spoilt,
-            (_, Cause::Closed(_) | Cause::Unlisted | Cause::NoRoom) => Ending::Reset,
+            (_, Cause::Closed(_) | Cause::Unlisted | Cause::NoRoom | Cause::Spent) => Ending::Reset,
         }
     }
 }
@@ -82,6 +85,7 @@
             Cause::Garbage(why) => write!(f, "not understood: {why}"),
             Cause::Unlisted => write!(f, "no longer listed as ready"),
             Cause::NoRoom => write!(f, "no descriptor left"),
+            Cause::Spent => write!(f, "its body is gone"),
         }
     }
 }
@@ -98,26 +102,25 @@
 struct Message {
     /// Its last byte is in the connection's hands.
     ended: Cell<bool>,
+    /// And written, with all before it.
+    written: Cell<bool>,
     /// Grows by one once that is written.
     whole: Cell<Option<Count>>,
 }
 
 /// A message's body, which marks its end.
 struct Marked {
-    body: Full<Bytes>,
+    body: Outgoing,
     message: Rc<Message>,
 }
 
 impl Body for Marked {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = io::Error;
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        self.message.ended.set(self.body.is_end_stream());
+        self.message.ended.set(matches!(polled, Poll::Ready(None)) || self.body.is_end_stream());
         polled
     }
     fn is_end_stream(&self) -> bool {
@@ -162,10 +165,8 @@
     }
     /// Called once all that was to be written so far is.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.message.ended.get()
-            && let Some(count) = self.message.whole.take()
-        {
-            count.set(count.get() + 1);
+        if self.message.ended.get() && !self.message.written.replace(true) {
+            self.message.whole.take().inspect(|count| count.set(count.get() + 1));
         }
         Poll::Ready(Ok(()))
     }
@@ -178,6 +179,8 @@
 #[derive(Default)]
 pub struct Progress {
     mark: Cell<Option<(Rc<Cell<u64>>, u64)>>,
+    /// Of a long one, which its node does not begin before its last byte.
+    long: Cell<Option<Rc<Message>>>,
     /// Grows by one once its message is written whole.
     whole: Option<Count>,
 }
@@ -190,6 +193,9 @@
         let mark = self.mark.take();
         let begun = mark.as_ref().is_some_and(|(written, before)| written.get() > *before);
         self.mark.set(mark);
+        let long = self.long.take();
+        let begun = begun && long.as_ref().is_none_or(|message| message.written.get());
+        self.long.set(long);
         if begun { Stage::Written } else { Stage::Unwritten }
     }
     pub fn broken(&self, cause: Cause) -> Broken {
@@ -200,7 +206,14 @@
 pub struct Reply {
     pub status: StatusCode,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Came,
+}
+
+/// The body of an answer, as far as it was waited for.
+pub enum Came {
+    Whole(Bytes),
+    /// What has come of a long one, the rest, and how many bytes may still come.
+    Long(Bytes, Incoming, u64),
 }
 
 /// An open connection; dropping it closes it.
@@ -263,33 +276,52 @@
         self.sender.is_closed()
     }
 
-    /// Sends and waits for the whole answer.
+    /// Sends and waits for the whole answer, or for as much of a long one as shows that it is.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
-        body_most: usize,
+        request: Request<Outgoing>,
+        most: Most,
         progress: &Progress,
     ) -> Result<Reply, Broken> {
         progress.mark.set(Some((self.written.clone(), self.written.get())));
         self.message.ended.set(false);
+        self.message.written.set(false);
+        let long = request.body().size_hint().exact().is_none_or(|length| length > SHORT);
+        progress.long.set(long.then(|| self.message.clone()));
         self.message.whole.set(progress.whole.clone());
         let request = request.map(|body| Marked { body, message: self.message.clone() });
         let broken = |error: hyper::Error| progress.broken(cause(&error));
         let (head, body) = self.sender.send_request(request).await.map_err(broken)?.into_parts();
-        let body =
-            read_whole(body, body_most).await.map_err(|cause| Broken { stage: Stage::Written, cause })?;
+        let body = receive(body, most).await.map_err(|cause| Broken { stage: Stage::Written, cause })?;
         self.idle_since = Instant::now();
         Ok(Reply { status: head.status, headers: head.headers, body })
     }
 }
 
-async fn read_whole(body: Incoming, most: usize) -> Result<Bytes, Cause> {
-    match Limited::new(body, most).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Cause::Garbage(format!("a body over {most} bytes")))
+/// Bytes of an answer that are collected, and of one that is passed on as it comes.
+#[derive(Clone, Copy)]
+pub struct Most {
+    pub collected: u64,
+    pub long: u64,
+}
+
+async fn receive(mut body: Incoming, most: Most) -> Result<Came, Cause> {
+    let told = body.size_hint().exact();
+    if told.is_some_and(|told| told > most.long) {
+        return Err(Cause::Garbage(format!("a body over {} bytes", most.long)));
+    }
+    let (mut begun, expected) = (BytesMut::new(), told.unwrap_or(0));
+    while expected <= most.collected && begun.len() as u64 <= most.collected {
+        let Some(frame) = body.frame().await else { return Ok(Came::Whole(begun.freeze())) };
+        let Ok(data) = frame.map_err(|error| cause(&error))?.into_data() else { continue };
+        if begun.is_empty() && data.len() as u64 == expected && body.is_end_stream() {
+            return Ok(Came::Whole(data));
         }
-        Err(error) => Err(cause(&*error)),
+        begun.extend_from_slice(&data);
+    }
+    match most.long.checked_sub(begun.len() as u64) {
+        Some(left) if most.long > most.collected => Ok(Came::Long(begun.freeze(), body, left)),
+        _ => Err(Cause::Garbage(format!("a body over {} bytes", most.long))),
     }
 }
 
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -1,6 +1,7 @@
 //! Puts the parts together and runs them on one core.
 
 use crate::accept;
+use crate::body::Budget;
 use crate::clock::{Clock, span};
 use crate::config::Config;
 use crate::counts::Counts;
@@ -108,7 +109,8 @@
         spawn_local(lasting("second address", answering));
     }
     let hand_offs = HandOffs::new(pool, counts.clone());
-    let front = Front { desk, hand_offs, counts, network, shutdown };
+    let budget = Budget::new(config.bodies);
+    let front = Front { desk, hand_offs, counts, network, budget, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
     say!("{} serves on {at}", config.name);
--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -2,4 +2,5 @@
 
 mod operations;
 mod sockets;
+mod streams;
 mod support;
--- /dev/null
+++ b/crates/flintwell/tests/process/streams.rs
@@ -0,0 +1,265 @@
+//! Long answers and bodies, slow peers, and all forms of a message.
+
+use crate::support::*;
+use serde_json::{Value, json};
+use std::io::{BufRead, Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LONG: usize = 32 << 20;
+
+/// Writes so many bytes, each the number of its block.
+fn write_blocks(mut to: &TcpStream, bytes: usize) -> std::io::Result<()> {
+    for block in 0..bytes / 65_536 {
+        to.write_all(&[block as u8; 65_536])?;
+    }
+    Ok(())
+}
+
+fn long(mut to: &TcpStream) -> std::io::Result<()> {
+    write!(to, "HTTP/1.1 200 -\r\nContent-Length: {LONG}\r\n\r\n")?;
+    write_blocks(to, LONG)
+}
+
+fn cut_off(mut to: &TcpStream) -> std::io::Result<()> {
+    write!(to, "HTTP/1.1 200 -\r\nContent-Length: {LONG}\r\n\r\n")?;
+    write_blocks(to, LONG / 2)
+}
+
+fn chunked(mut to: &TcpStream, end: &str) -> std::io::Result<()> {
+    to.write_all(b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    for _ in 0..20 {
+        to.write_all(b"10000;x=y\r\n")?;
+        write_blocks(to, 65_536)?;
+        to.write_all(b"\r\n")?;
+    }
+    to.write_all(end.as_bytes())
+}
+
+fn endless(mut to: &TcpStream) -> std::io::Result<()> {
+    to.write_all(b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    loop {
+        to.write_all(b"10000\r\n")?;
+        write_blocks(to, 65_536)?;
+        to.write_all(b"\r\n")?;
+    }
+}
+
+/// The head of an answer, whose body is not read.
+fn head(client: &mut Client) -> String {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        assert!(client.0.read_line(&mut head).expect("a line") > 0, "{head}");
+    }
+    head.to_lowercase()
+}
+
+/// Memory of a process, in MB.
+fn memory(proxy: &Proxy) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("its status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a line");
+    line.trim().split(' ').next().and_then(|kb| kb.parse::<usize>().ok()).expect("a number") / 1_024
+}
+
+fn with_cache(act: fn(&TcpStream) -> std::io::Result<()>) -> Value {
+    config(Server::start(move |_, _| Does::Writes(act)).addr, misses().addr)
+}
+
+#[test]
+fn long_answers_begin_at_once_and_slow_readers_cost_little_memory() {
+    let (config, at) = managed(with_cache(long));
+    let proxy = Proxy::start(&config);
+    let mut readers: Vec<Client> = (0..8).map(|_| proxy.client()).collect();
+    let start = Instant::now();
+    for (n, reader) in readers.iter_mut().enumerate() {
+        reader.begin("read", &format!("k{n}"));
+    }
+    for reader in &mut readers {
+        assert!(head(reader).contains(&format!("content-length: {LONG}")));
+    }
+    assert!(start.elapsed() < Duration::from_millis(900), "{:?}", start.elapsed());
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(memory(&proxy) < 32, "{} MB with 256 MB on the way", memory(&proxy));
+    assert_eq!(figures(at)["in_progress"], json!(8), "past their outer limit, and not cut off");
+    let reading: Vec<_> = readers
+        .into_iter()
+        .map(|mut reader| {
+            thread::spawn(move || {
+                let mut block = vec![0; 65_536];
+                for n in 0..LONG / 65_536 {
+                    reader.0.read_exact(&mut block).expect("a block");
+                    assert!(block.iter().all(|byte| *byte == n as u8), "block {n}");
+                }
+            })
+        })
+        .collect();
+    reading.into_iter().for_each(|reader| reader.join().expect("read whole"));
+    assert!(memory(&proxy) < 32, "{} MB", memory(&proxy));
+    soon("all passed", || figures(at)["passed"]["read"] == json!(8));
+    assert_eq!(figures(at)["in_progress"], json!(0));
+}
+
+#[test]
+fn an_answer_broken_half_way_is_never_taken_for_whole() {
+    let (config, at) = managed(with_cache(cut_off));
+    let proxy = Proxy::start(&config);
+    let mut client = proxy.client();
+    client.begin("read", "k");
+    assert!(head(&mut client).starts_with("http/1.1 200"));
+    let mut came = Vec::new();
+    let _ = client.0.read_to_end(&mut came);
+    assert!(came.len() < LONG, "the connection ends before the length");
+    soon("counted", || figures(at)["bad_gateway"]["read"] == json!(1));
+    for (act, whole) in [
+        ((|to| chunked(to, "0\r\n\r\n")) as fn(&TcpStream) -> std::io::Result<()>, true),
+        (|to| chunked(to, ""), false),
+        (|to| chunked(to, "zz\r\n"), false),
+        (endless, false),
+    ] {
+        let proxy = Proxy::start(&with_cache(act));
+        let mut client = proxy.client();
+        client.begin("read", "k");
+        assert!(head(&mut client).contains("transfer-encoding: chunked"));
+        let mut came = Vec::new();
+        let _ = client.0.get_mut().set_read_timeout(Some(Duration::from_millis(700)));
+        let _ = client.0.read_to_end(&mut came);
+        assert_eq!(came.ends_with(b"\r\n0\r\n\r\n"), whole, "{} bytes", came.len());
+        assert!(came.len() < LONG + (1 << 20), "{} bytes", came.len());
+    }
+}
+
+#[test]
+fn an_answer_said_to_be_longer_than_any_is_tried_elsewhere() {
+    let spoilt = Server::start(|_, _| Does::Says("HTTP/1.1 200 -\r\nContent-Length: 3000000000\r\n\r\nx"));
+    let good = Server::start(|_, _| Does::Answers(200, "value"));
+    let proxy = Proxy::start(&config(spoilt.addr, good.addr));
+    assert_eq!(proxy.client().ask("read", "k").body, "value");
+}
+
+/// A write of a body that comes as this has it, the id being its key too.
+fn write(client: &mut Client, id: &str, framing: &str) {
+    client.send(&format!(
+        "PUT http://origin.svc/api/{id}?q=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: once\r\n\
+         X-Deadline: 1.0\r\n{framing}\r\n\r\n"
+    ));
+}
+
+/// A proxy that may keep 1 MB of bodies, and its origin.
+fn small(answers: fn() -> Does) -> (Proxy, Server) {
+    let origin = Server::start(move |_, _| answers());
+    let mut config = config(misses().addr, origin.addr);
+    config["limits"]["memory_mb"] = json!(4);
+    (Proxy::start(&config), origin)
+}
+
+#[test]
+fn a_slow_body_is_waited_for_and_counts_from_its_last_byte() {
+    let (proxy, origin) = small(|| Does::Answers(200, "done"));
+    let mut client = proxy.client();
+    write(&mut client, "slow", "Content-Length: 192000");
+    for _ in 0..30 {
+        thread::sleep(Duration::from_millis(100));
+        client.send(&"x".repeat(6_400));
+    }
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(origin.heard()[0].body.len(), 192_000);
+    write(&mut client, "still", "Content-Length: 192000");
+    let start = Instant::now();
+    assert_eq!(client.read().expect("an answer").status(), 408);
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+}
+
+#[test]
+fn bodies_beyond_the_memory_for_them_are_passed_on_as_they_come() {
+    let (proxy, origin) = small(|| Does::Answers(200, "done"));
+    let writers: Vec<_> = (0..6)
+        .map(|n| {
+            let mut client = proxy.client();
+            thread::spawn(move || {
+                write(&mut client, &format!("long{n}"), &format!("Content-Length: {}", 8 << 20));
+                for _ in 0..8 {
+                    client.send(&n.to_string().repeat(1 << 20));
+                    thread::sleep(Duration::from_millis(30));
+                }
+                client.read().expect("an answer").status()
+            })
+        })
+        .collect();
+    let statuses: Vec<u16> = writers.into_iter().map(|writer| writer.join().expect("a writer")).collect();
+    assert_eq!(statuses, [200; 6]);
+    assert!(memory(&proxy) < 24, "{} MB with 48 MB sent", memory(&proxy));
+    let heard = origin.heard();
+    assert_eq!(heard.len(), 6);
+    for message in heard {
+        let first = message.body.bytes().next().expect("a byte");
+        assert!(message.body.len() == 8 << 20 && message.body.bytes().all(|byte| byte == first));
+    }
+}
+
+#[test]
+fn a_body_that_is_passed_on_has_one_hand_off_and_is_turned_back_when_it_never_ran() {
+    for (answers, status) in [
+        ((|| Does::Answers(503, "")) as fn() -> Does, 503),
+        (|| Does::Answers(500, ""), 502),
+        (|| Does::Closes, 502),
+    ] {
+        let (proxy, origin) = small(answers);
+        let mut client = proxy.client();
+        write(&mut client, "long", &format!("Content-Length: {}", 4 << 20));
+        client.send(&"x".repeat(4 << 20));
+        assert_eq!(client.read().expect("an answer").status(), status);
+        assert_eq!(origin.heard().len(), 1);
+    }
+    let (proxy, origin) = small(|| Does::Answers(200, "done"));
+    let mut client = proxy.client();
+    write(&mut client, "half", &format!("Content-Length: {}", 4 << 20));
+    client.send(&"x".repeat(2 << 20));
+    assert_eq!(client.read().expect("an answer").status(), 408, "it ends late");
+    let mut client = proxy.client();
+    write(&mut client, "gone", &format!("Content-Length: {}", 4 << 20));
+    client.send(&"x".repeat(2 << 20));
+    drop(client);
+    soon("its connection closed", || origin.ended() >= 2);
+    assert!(origin.heard().is_empty(), "no half of a body passes for a whole one");
+}
+
+#[test]
+fn chunked_bodies_are_taken_and_what_goes_on_is_framed_by_us() {
+    let (proxy, origin) = small(|| Does::Answers(200, "done"));
+    let mut client = proxy.client();
+    write(&mut client, "a", "Transfer-Encoding: chunked\r\nExpect: 100-continue");
+    assert!(head(&mut client).starts_with("http/1.1 100"));
+    client.send("5;ext=\"1\"\r\nhello\r\n");
+    thread::sleep(Duration::from_millis(20));
+    client.send("6\r\n world\r\n0\r\nTrailer: t\r\n\r\n");
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let heard = origin.heard()[0].clone();
+    assert_eq!((&*heard.first, &*heard.body), ("PUT /api/a?q=1 HTTP/1.1\r\n", "hello world"));
+    assert_eq!((heard.header("content-length"), heard.header("transfer-encoding")), (Some("11"), None));
+}
+
+#[test]
+fn a_length_beside_a_transfer_encoding_is_refused_however_it_is_cut() {
+    let (proxy, origin) = small(|| Does::Answers(200, "done"));
+    let hidden =
+        "0\r\n\r\nPUT /api/hidden HTTP/1.1\r\nX-Request-Id: h\r\nX-Class: once\r\nX-Deadline: 1\r\n\r\n";
+    let both = format!(
+        "PUT /api/b HTTP/1.1\r\nX-Request-Id: b\r\nX-Class: once\r\nX-Deadline: 1\r\ntransfer-encoding: chunked\r\n\
+         CONTENT-length : 4\r\n\r\n{hidden}"
+    );
+    let both = both.replace("length :", "length:");
+    for cut in (1..both.len()).step_by(7) {
+        let mut client = proxy.client();
+        if cut % 2 == 0 {
+            assert_eq!(client.ask("read", &format!("first{cut}")).status(), 200);
+        }
+        client.send(&both[..cut]);
+        thread::sleep(Duration::from_millis(1));
+        let _ = client.0.get_mut().write_all(&both.as_bytes()[cut..]);
+        assert_eq!(client.read().expect("an answer").status(), 400, "cut at {cut}");
+        assert!(client.read().is_none(), "and closed");
+    }
+    assert!(origin.heard().iter().all(|message| message.first.starts_with("GET /api/first")));
+}
--- a/crates/flintwell/tests/process/support.rs
+++ b/crates/flintwell/tests/process/support.rs
@@ -58,6 +58,8 @@
     Waits(Duration, &'static str),
     /// Answers and says more after a while.
     AnswersAndAdds(&'static str, Duration, &'static str),
+    /// What this writes, then closes.
+    Writes(fn(&TcpStream) -> std::io::Result<()>),
 }
 
 pub struct Server {
@@ -112,6 +114,7 @@
             Does::AnswersAndCloses(body) => return drop(say(full(200, body))),
             Does::Says(words) => say(words.to_owned()),
             Does::Closes => return,
+            Does::Writes(write) => return drop(write(&stream)),
             Does::Hangs => return drop(reader.read(&mut [0])),
             Does::Waits(time, body) => {
                 thread::sleep(time);
@@ -266,3 +269,41 @@
 pub fn closed() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a port")
 }
+
+/// What the second address says to these words, and after how long.
+pub fn says(at: SocketAddr, words: &str) -> (u16, String, Duration) {
+    let start = Instant::now();
+    let mut call = TcpStream::connect(at).expect("a connection");
+    call.set_read_timeout(Some(Duration::from_secs(5))).expect("a limit");
+    call.write_all(words.as_bytes()).expect("written");
+    let mut said = String::new();
+    call.read_to_string(&mut said).expect("an answer and a close");
+    let status = said.split(' ').nth(1).and_then(|status| status.parse().ok()).expect("a status");
+    let body = said.split_once("\r\n\r\n").expect("a head").1.trim().to_owned();
+    (status, body, start.elapsed())
+}
+
+pub fn get(at: SocketAddr, path: &str) -> (u16, String) {
+    let (status, body, _) = says(at, &format!("GET {path} HTTP/1.1\r\nHost: m\r\n\r\n"));
+    (status, body)
+}
+
+pub fn post(at: SocketAddr, path: &str, body: &str) -> u16 {
+    let length = body.len();
+    says(at, &format!("POST {path} HTTP/1.1\r\nHost: m\r\nContent-Length: {length}\r\n\r\n{body}")).0
+}
+
+pub fn who(node: &str) -> String {
+    json!({ "who": node }).to_string()
+}
+
+pub fn figures(at: SocketAddr) -> Value {
+    serde_json::from_str(&get(at, "/api/telemetry").1).expect("JSON")
+}
+
+/// With a second address, and where that is.
+pub fn managed(mut config: Value) -> (Value, SocketAddr) {
+    let at = closed();
+    config["mgmt"] = json!(at.to_string());
+    (config, at)
+}
