Reads that crowded caches shut out are fetched while the origin has room

Ruled out: the origin's limit of a new process (10 and more within a second), lost time in the sockets, accesses ended at the door (none).

Test: no read is shut out while the origin is idle. Also: a planned stop waits for long answers that are still read, with a test.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -105,7 +105,6 @@
         let spread = rng.random_range(0..=LIST_SPREAD * i64::from(settings.fleet_size.min(FLEET_MOST)));
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
         let times = Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
-        let share = |share: f64| Share { now: share, at: now };
         Policy {
             host,
             rng,
@@ -119,7 +118,7 @@
             kinds: BTreeMap::new(),
             speeds: Average::default(),
             slots: Slots::default(),
-            caches: Caches { times, admit: share(1.0), surplus: share(ADMIT_LEAST), ..Caches::default() },
+            caches: Caches::new(now, times, ADMIT_LEAST),
             origin: Origin::new(now, times, FETCHES_FIRST, shortest * FETCH_BEARABLE),
             heat: Heat::new(HEATS),
             list_failures: 0,
@@ -146,8 +145,8 @@
         } else if write {
             self.write_passes(now, &id, &key);
         } else if shut && (late || self.target(now, &id).is_none_or(|n| n.goal_used.mean >= CROWDED)) {
-            // Danger: crowded nodes answer late; by the mean alone a few hot ones would shut the idle ones.
-            self.give_up(now, &id);
+            // Danger: crowded nodes answer late; by the mean a few hot ones would shut idle ones, and the origin.
+            if self.may_fetch(now) { self.fetch(now, &id) } else { self.give_up(now, &id) }
         } else if self.settings.aside {
             self.ask_cache(now, &id);
         } else {
@@ -399,11 +398,10 @@
     fn ask_cache(&mut self, now: Micros, id: &AccessId) {
         let Some(access) = self.accesses.get(id) else { return };
         let fetches = self.settings.aside && !access.write;
-        let room = || self.origin.node.is_some_and(|o| self.origin_has_room(now, o, false));
-        let last = fetches && access.hand_offs.len() + 1 == self.settings.max_hand_offs && room();
+        let last = access.hand_offs.len() + 1 == self.settings.max_hand_offs;
         match self.choose(now, access) {
             // Danger: a miss that draws the last hand-off has none left for the fetch.
-            Ok(_) if last => self.fetch(now, id),
+            Ok(_) if last && fetches && self.may_fetch(now) => self.fetch(now, id),
             Ok(node) => self.hand_off(now, id, node),
             Err(false) if fetches => self.fetch(now, id),
             Err(_) => {
@@ -486,6 +484,10 @@
         f64::from(self.nodes[origin].in_flight) < most.max(1.0) && (most >= 1.0 || now >= self.origin.after)
     }
 
+    fn may_fetch(&self, now: Micros) -> bool {
+        self.settings.aside && self.origin.node.is_some_and(|o| self.origin_has_room(now, o, false))
+    }
+
     /// To the origin, now or when one of those out has ended.
     fn fetch(&mut self, now: Micros, id: &AccessId) {
         let Some(origin) = self.origin.node else { return self.give_up(now, id) };
@@ -724,11 +726,10 @@
     fn feel(&mut self, now: Micros, used: f64) {
         // Danger: one that admits little hears little; by old answers alone it would stay shut for long.
         self.caches.goal_used.learn(now, used, SMOOTHING, ESTIMATE_AGE);
-        let caches = &mut self.caches;
-        for (share, most) in [(&mut caches.admit, CROWDED), (&mut caches.surplus, CROWDED_SURPLUS)] {
+        let all = &mut self.caches;
+        for (share, most) in [(&mut all.admit, CROWDED), (&mut all.surplus, CROWDED_SURPLUS)] {
             let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
-            let (fall, rise) =
-                if caches.goal_used.mean > most { (ADMIT_FALL, 0.0) } else { (1.0, ADMIT_RISE) };
+            let (fall, rise) = if all.goal_used.mean > most { (ADMIT_FALL, 0.0) } else { (1.0, ADMIT_RISE) };
             share.step(now, steps, fall, rise, ADMIT_LEAST);
         }
     }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -305,6 +305,13 @@
     pub surplus: Share,
 }
 
+impl Caches {
+    pub fn new(now: Micros, times: Times, surplus: f64) -> Self {
+        let share = |share: f64| Share { now: share, at: now };
+        Caches { times, admit: share(1.0), surplus: share(surplus), ..Self::default() }
+    }
+}
+
 /// A share in steps, and when the last was taken.
 #[derive(Default, Clone, Copy)]
 pub(crate) struct Share {
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -689,3 +689,46 @@
     let again = fetched(&mut play, 50, 20 * MS);
     assert!(again * 10 > well * 8, "{well} while well, {again} a second after it has recovered");
 }
+
+/// The few caches that were warm shed most reads while the origin had a fifth of its limit in flight.
+#[test]
+fn reads_that_crowded_caches_shut_out_go_to_an_origin_with_room() {
+    let mut play = Play::new(settings(), 6);
+    let (mut shut, mut idle) = (0, 0);
+    for wave in 0..20 {
+        let mut out: Vec<AccessId> = Vec::new();
+        for n in 0..40 {
+            let id = play.arrive(0, &format!("k{wave} {n}"), false);
+            if play.answer(&id).is_some() {
+                shut += 1;
+                let fetched = out.iter().filter(|id| play.node_of(id) == Some(origin())).count();
+                idle += usize::from(fetched < 4);
+            }
+            out.push(id);
+        }
+        // The origin answers soon, the caches late, as they always did.
+        play.pass(20 * MS);
+        for id in out.iter().filter(|id| play.node_of(id) == Some(origin())).cloned().collect::<Vec<_>>() {
+            play.end(&id, Ending::Honoured);
+        }
+        play.pass(280 * MS);
+        out.iter().for_each(|id| play.end(id, Ending::Honoured));
+    }
+    assert!(shut > 10 && idle == 0, "{shut} shut out, {idle} of them with an idle origin");
+}
+
+#[test]
+fn what_is_avoided_is_told_without_a_change_and_the_origin_is_no_cache() {
+    let mut play = Play::new(settings(), 4);
+    assert_eq!(play.policy.avoided(play.now()), 0);
+    let out = [entry(1, Standing::Draining, 0), entry(0, Standing::Draining, 0)];
+    play.list(ListKind::Changes, out.to_vec());
+    assert_eq!(play.policy.avoided(play.now()), 1, "one listed as draining");
+    play.list(ListKind::Changes, vec![entry(0, Standing::Ready, 0)]);
+    let silent = play.arrive(0, "k", false);
+    play.end(&silent, Ending::TimedOut);
+    assert_eq!(play.policy.avoided(play.now()), 2, "and one that fell silent");
+    play.list(ListKind::Changes, vec![entry(1, Standing::Gone, 0)]);
+    play.pass(5 * SECOND);
+    assert_eq!(play.policy.avoided(play.now()), 0, "one gone, one's spell over");
+}
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -110,6 +110,7 @@
     }
     let hand_offs = HandOffs::new(pool, counts.clone());
     let budget = Budget::new(config.bodies);
+    let counted = counts.clone();
     let front = Front { desk, hand_offs, counts, network, budget, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
@@ -118,7 +119,9 @@
     let accepting =
         spawn_local(lasting("accept", async move || accept::accept(&listener, &doors, &front).await));
     let successor = || inherits && succession.succeeded();
-    let stopped = stop.on_signal(accepting, room, connections as u32, longest, successor).await;
+    let stopped = stop
+        .on_signal(accepting, room, connections as u32, longest, successor, || counted.in_hand() > 0)
+        .await;
     stopped.map_err(|e| format!("signals: {e}"))
 }
 
--- a/crates/flintwell/tests/process/streams.rs
+++ b/crates/flintwell/tests/process/streams.rs
@@ -100,6 +100,21 @@
     assert_eq!(figures(at)["in_progress"], json!(0));
 }
 
+#[test]
+fn a_planned_stop_waits_for_a_long_answer_that_is_still_read() {
+    let mut proxy = Proxy::start(&with_cache(long));
+    let mut client = proxy.client();
+    client.begin("read", "k");
+    head(&mut client);
+    proxy.signal("-TERM");
+    let mut block = vec![0; 4 << 20];
+    for _ in 0..LONG / block.len() {
+        thread::sleep(Duration::from_millis(400));
+        client.0.read_exact(&mut block).expect("what its node still gives");
+    }
+    assert!(proxy.child.wait().expect("its end").success());
+}
+
 #[test]
 fn an_answer_broken_half_way_is_never_taken_for_whole() {
     let (config, at) = managed(with_cache(cut_off));
