Clients that ask once and stay make room from half of it on, not when all is taken

Clients hold a third of the descriptors at most, 128 of 384, and we have room for 176, so accept.rs (make_room) saw no pressure: at 131 open connections the clients could open no more, accesses fell from 300 to 60 a second with none in hand, and those that found no connection were refused. Where silent ones filled our room too, by 15 s, the same clients were served in full. From half of our room, a quarter of all descriptors, the longest idle after an access are closed as others come.

Test: of fifty that ask once and stay in room for 64 the first ten are closed, the last is kept.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -31,6 +31,7 @@
 const FRESH: Duration = Duration::from_millis(50); // for which a new connection is kept, whoever waits
 const USED: Duration = Duration::from_secs(1); // the same after an access, while few are such
 const USED_SHARE: usize = 4; // one in so many open ones idle after an access is many
+const MANY: f64 = 0.5; // of our room, a quarter of all descriptors; clients hold a third at most
 const CLOSE_EVERY: Duration = Duration::from_millis(10); // idle ones, one by one, while room is wanted
 const HEAD_ENDS: Duration = Duration::from_millis(250); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
@@ -41,6 +42,8 @@
 /// Clients' connections, by how long they have stood idle.
 #[derive(Default)]
 struct Clients {
+    /// From so many on, those idle after an access make room before all is taken.
+    many: usize,
     turn: Cell<u64>,
     open: Cell<usize>,
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
@@ -86,9 +89,12 @@
     async fn make_room(&self, room: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         let mut permit = std::pin::pin!(room.clone().acquire_owned());
         loop {
-            if room.available_permits() == 0 {
+            let full = room.available_permits() == 0;
+            // Danger: clients that ask once and stay, and may hold fewer than there is room for here, have none
+            // left to ask on, and we see no pressure.
+            if full || self.open.get() >= self.many {
                 let (now, mut idle) = (Instant::now(), self.idle.borrow_mut());
-                let due = idle.keys().find(|place| place.1 <= now);
+                let due = idle.keys().find(|place| full && place.1 <= now);
                 // Danger: where each access comes on a connection of its own, to wait for the few new ones
                 // that have said nothing yet would leave the rest in the backlog past their time.
                 let silent = idle.keys().take_while(|place| !place.0).count();
@@ -238,7 +244,8 @@
 /// Accepts until shutdown closes the door; then takes in what still stands before it.
 pub async fn accept(listener: &TcpListener, room: &Arc<Semaphore>, front: &Front) {
     let shutdown = front.shutdown.clone();
-    let clients = Rc::new(Clients::default());
+    let many = (room.available_permits() as f64 * MANY) as usize;
+    let clients = Rc::new(Clients { many, ..Clients::default() });
     loop {
         let next = async {
             // At the limit accept pauses; the rest waits in the backlog.
--- a/crates/flintwell/tests/process/sockets.rs
+++ b/crates/flintwell/tests/process/sockets.rs
@@ -170,6 +170,26 @@
     assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
 }
 
+#[test]
+fn clients_that_stay_after_an_access_are_closed_before_all_room_is_taken() {
+    let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
+    config["limits"]["sockets"] = json!(160);
+    let proxy = Proxy::start(&config);
+    // Room for 64, of which clients that hold a third of the descriptors never take 54.
+    let mut stay: Vec<Client> = (0..50)
+        .map(|n| {
+            let mut client = proxy.client();
+            assert_eq!(client.ask("read", &format!("k{n}")).status(), 200);
+            client
+        })
+        .collect();
+    for client in &mut stay[..10] {
+        let _ = client.0.get_mut().set_read_timeout(Some(Duration::from_millis(300)));
+        assert!(client.read().is_none(), "closed");
+    }
+    assert_eq!(stay[49].ask("read", "again").status(), 200, "the last is kept");
+}
+
 #[test]
 fn clients_that_ask_once_and_stay_keep_nobody_waiting() {
     let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
