Connections that say nothing go at once, and sooner while many are open

What has come on an idle connection is told apart now: nothing, a part of a head, an access. Nothing for half a second makes room from half of our room on, and ends at once; a head that has begun keeps its time.

Test: sixty silent ones a second in room for 32 hold up no access, heads in two parts included. Tests' second addresses are of loopback addresses of their own; a port left again was another test's, seen once as a reset.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -29,6 +29,7 @@
 const IDLE_MOST: Duration = Duration::from_secs(10); // a connection with no access for this long is closed
 const HEAD_WITHIN: Duration = Duration::from_millis(2_400); // from a connection's start, or a head's, to its end
 const FRESH: Duration = Duration::from_millis(50); // for which a new connection is kept, whoever waits
+const SILENT: Duration = Duration::from_millis(450); // more, while there is room but many are open
 const USED: Duration = Duration::from_secs(1); // the same after an access, while few are such
 const USED_SHARE: usize = 4; // one in so many open ones idle after an access is many
 const MANY: f64 = 0.5; // of our room, a quarter of all descriptors; clients hold a third at most
@@ -49,8 +50,17 @@
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
 }
 
-/// Whether an access has ended on an idle connection, when it may be closed, and its turn.
-type Place = (bool, Instant, u64);
+/// What has come on an idle connection, the first to make room first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Heard {
+    Nothing,
+    /// A head that has not ended.
+    Part,
+    Access,
+}
+
+/// What has come on an idle connection, when it may be closed, and its turn.
+type Place = (Heard, Instant, u64);
 
 /// One client's connection.
 struct Client {
@@ -79,7 +89,7 @@
             full: Cell::default(),
         };
         // Danger: a fresh connection's first access may be on the way, and the next one's too.
-        client.idles(false, FRESH);
+        client.idles(Heard::Nothing, FRESH);
         Rc::new(client)
     }
 
@@ -94,10 +104,11 @@
             // left to ask on, and we see no pressure.
             if full || self.open.get() >= self.many {
                 let (now, mut idle) = (Instant::now(), self.idle.borrow_mut());
-                let due = idle.keys().find(|place| full && place.1 <= now);
+                let mut all = idle.keys();
+                let due = all.find(|p| p.1 <= now && (full || p.0 == Heard::Nothing && p.1 + SILENT <= now));
                 // Danger: where each access comes on a connection of its own, to wait for the few new ones
                 // that have said nothing yet would leave the rest in the backlog past their time.
-                let silent = idle.keys().take_while(|place| !place.0).count();
+                let silent = idle.keys().take_while(|place| place.0 != Heard::Access).count();
                 let used =
                     idle.keys().nth(silent).filter(|_| (idle.len() - silent) * USED_SHARE >= self.open.get());
                 let longest = due.or(used).copied();
@@ -115,12 +126,24 @@
         self.owes.set(None);
         self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
     }
-    fn idles(&self, used: bool, kept_for: Duration) {
-        let place = (used, Instant::now() + kept_for, self.clients.turn.get());
+    fn idles(&self, heard: Heard, kept_for: Duration) {
+        let place = (heard, Instant::now() + kept_for, self.clients.turn.get());
         self.clients.turn.set(place.2 + 1);
         self.clients.idle.borrow_mut().insert(place, self.close.clone());
         self.idle.set(Some(place));
     }
+    /// Bytes have come on it.
+    fn hears(&self) {
+        let Some(place) = self.idle.get() else { return };
+        if place.0 == Heard::Nothing {
+            let owes = self.owes.get();
+            self.busy();
+            self.owes.set(owes);
+            self.idles(Heard::Part, place.1.saturating_duration_since(Instant::now()));
+        } else if self.owes.get().is_none() {
+            self.owes.set(Some(Instant::now()));
+        }
+    }
     /// Ends once the end of a head is overdue. Danger: a connection that says nothing, or begins a head and
     /// never ends it, would be kept for as long as one that is used.
     async fn head_overdue(&self) {
@@ -167,17 +190,17 @@
 
 impl Drop for Answering {
     fn drop(&mut self) {
-        self.client.idles(true, USED);
+        self.client.idles(Heard::Access, USED);
     }
 }
 
 /// A client's stream, which tells when a head begins.
-struct Heard {
+struct Listened {
     stream: TcpStream,
     client: Rc<Client>,
 }
 
-impl AsyncRead for Heard {
+impl AsyncRead for Listened {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -185,16 +208,15 @@
     ) -> Poll<std::io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let idle = self.client.idle.get().is_some() && self.client.owes.get().is_none();
-        if idle && buf.filled().len() > before {
-            self.client.owes.set(Some(Instant::now()));
+        if buf.filled().len() > before {
+            self.client.hears();
         }
         self.client.scanner.borrow_mut().read(&buf.filled()[before..]);
         read
     }
 }
 
-impl AsyncWrite for Heard {
+impl AsyncWrite for Listened {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -299,7 +321,7 @@
         if let Err(error) = stream.set_nodelay(true) {
             say!("a client's connection: {error}");
         }
-        let heard = TokioIo::new(Heard { stream, client: client.clone() });
+        let heard = TokioIo::new(Listened { stream, client: client.clone() });
         let mut connection = std::pin::pin!(http.serve_connection(heard, TowerToHyperService::new(stack)));
         // Whether a client's connection ended well or badly, the access on it was told by its seat.
         tokio::select! {
@@ -311,8 +333,11 @@
             () = client.close.notified() => connection.as_mut().graceful_shutdown(),
             () = idle_closed => connection.as_mut().graceful_shutdown(),
         }
-        // Danger: a client that began an access and never ends its head would keep its place.
-        let ended = timeout(HEAD_ENDS, connection.as_mut()).await.is_ok();
+        // Danger: a client that began an access and never ends its head would keep its place; of hundreds that
+        // say nothing each would, while others wait for it.
+        let silent = client.idle.get().is_some_and(|place| place.0 == Heard::Nothing);
+        let ends = if silent { LAST_LOOK } else { HEAD_ENDS };
+        let ended = timeout(ends, connection.as_mut()).await.is_ok();
         if !ended && client.idle.get().is_none() {
             let _ = connection.await;
         }
--- a/crates/flintwell/tests/process/sockets.rs
+++ b/crates/flintwell/tests/process/sockets.rs
@@ -190,6 +190,38 @@
     assert_eq!(stay[49].ask("read", "again").status(), 200, "the last is kept");
 }
 
+#[test]
+fn hundreds_that_say_nothing_leave_room_for_those_that_ask() {
+    let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
+    config["limits"]["sockets"] = json!(96);
+    let proxy = Proxy::start(&config);
+    let addr = proxy.addr;
+    let silent = thread::spawn(move || {
+        // Sixty a second, in room for 32.
+        (0..90)
+            .map(|_| {
+                thread::sleep(Duration::from_millis(16));
+                TcpStream::connect(addr)
+            })
+            .collect::<Vec<_>>()
+    });
+    for n in 0..70 {
+        let start = Instant::now();
+        // Each on a connection of its own, half of them with a head in two parts.
+        let mut client = proxy.client();
+        if n % 2 == 0 {
+            client.send("GET /api/k HTTP/1.1\r\n");
+            thread::sleep(Duration::from_millis(20));
+            client.send(&format!("X-Request-Id: s{n}\r\nX-Class: read\r\nX-Deadline: 1\r\n\r\n"));
+            assert_eq!(client.read().expect("an answer").status(), 200);
+        } else {
+            assert_eq!(client.ask("read", &format!("k{n}")).status(), 200);
+        }
+        assert!(start.elapsed() < Duration::from_millis(500), "{n}: {:?}", start.elapsed());
+    }
+    assert_eq!(silent.join().expect("done").len(), 90);
+}
+
 #[test]
 fn clients_that_ask_once_and_stay_keep_nobody_waiting() {
     let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
--- a/crates/flintwell/tests/process/support.rs
+++ b/crates/flintwell/tests/process/support.rs
@@ -303,7 +303,10 @@
 
 /// With a second address, and where that is.
 pub fn managed(mut config: Value) -> (Value, SocketAddr) {
-    let at = closed();
+    // Of its own loopback address, since a port picked and left again may be another test's meanwhile.
+    static MANAGED: AtomicUsize = AtomicUsize::new(1);
+    let (process, number) = (std::process::id(), MANAGED.fetch_add(1, Ordering::Relaxed));
+    let at = SocketAddr::from(([127, 64 + (process >> 8 & 63) as u8, process as u8, number as u8], 9600));
     config["mgmt"] = json!(at.to_string());
     (config, at)
 }
