Answers that have begun are passed on when patience ends, and waited for until written

An answer of no told length was held until 64 KiB had come, and its hand-off called off at the patience with caches, 80 to 180 ms (handoff.rs): now it is held for 100 ms at most and let go when patience ends. Found beside it: the end of an answer still in the connection's hands counted as idle, so that a stop or a wish for room could drop it (accept.rs: busy until the flush); a whole chunked answer was not counted as passed (relay.rs); what is kept back for another process passed for open connections and held up each stop by 1.1 s (succession.rs).

Ruled out: SIGKILL (the old process had ended), node stalls, clients that stand still (none logged). Tests: slow answers of no told length, begun within patience; busy until written; a stop waits for the end of an answer.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -74,6 +74,8 @@
     scanner: RefCell<Scanner>,
     /// Since when it takes nothing of what is written to it.
     full: Cell<Option<Instant>>,
+    /// Its answer is in the connection's hands, and not all of it written.
+    answered: Cell<bool>,
 }
 
 impl Clients {
@@ -87,6 +89,7 @@
             close: Rc::default(),
             scanner: RefCell::default(),
             full: Cell::default(),
+            answered: Cell::default(),
         };
         // Danger: a fresh connection's first access may be on the way, and the next one's too.
         client.idles(Heard::Nothing, FRESH);
@@ -124,6 +127,7 @@
 impl Client {
     fn busy(&self) {
         self.owes.set(None);
+        self.answered.set(false);
         self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
     }
     fn idles(&self, heard: Heard, kept_for: Duration) {
@@ -164,7 +168,7 @@
     }
 }
 
-/// An answer's body, until the end of which its client counts as busy.
+/// An answer's body, until the last byte of which is written its client counts as busy.
 struct Answering {
     content: Content,
     client: Rc<Client>,
@@ -190,7 +194,7 @@
 
 impl Drop for Answering {
     fn drop(&mut self) {
-        self.client.idles(Heard::Access, USED);
+        self.client.answered.set(true);
     }
 }
 
@@ -227,7 +231,12 @@
         self.client.full.set(since.filter(|_| wrote.is_pending()));
         wrote
     }
+    /// Called once all that was to be written so far is. Danger: the end of an answer that a slow client has
+    /// not taken yet would be lost with a connection that counts as idle.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if self.client.answered.take() {
+            self.client.idles(Heard::Access, USED);
+        }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -343,3 +352,23 @@
         }
     });
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::poll_fn;
+
+    #[tokio::test]
+    async fn a_client_is_busy_until_the_last_byte_of_its_answer_is_written() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let stream = TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a stream");
+        let client = Rc::new(Clients::default()).enter();
+        let mut listened = Listened { stream, client: client.clone() };
+        client.busy();
+        let (content, answered) = (Bytes::from_static(b"value").into(), client.clone());
+        drop(Answering { content, client: answered });
+        assert!(client.idle.get().is_none(), "in the connection's hands");
+        poll_fn(|cx| Pin::new(&mut listened).poll_flush(cx)).await.expect("written");
+        assert!(client.idle.get().is_some_and(|place| place.0 == Heard::Access));
+    }
+}
--- a/crates/flintwell/src/counts.rs
+++ b/crates/flintwell/src/counts.rs
@@ -62,10 +62,6 @@
         InHand(self.in_hand.clone())
     }
 
-    pub fn in_hand(&self) -> u64 {
-        self.in_hand.get()
-    }
-
     pub fn ended(&self, case: usize, answer: &Answer) {
         let Some((_, ended)) = self.cases.get(case) else { return };
         match answer {
@@ -93,7 +89,7 @@
             dropped: by(|ended| &ended.turned_back),
             bad_gateway: by(|ended| &ended.broken_off),
             upstream_tries: self.hand_offs.get(),
-            in_progress: self.in_hand(),
+            in_progress: self.in_hand.get(),
             known_cache_nodes: known,
             skipped_cache_nodes: skipped,
         }
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -72,6 +72,10 @@
             if let Ok(ended) = timeout(span(hand_off.allow_for), exchange.as_mut()).await {
                 return ended;
             }
+            // Danger: an answer that its node has begun, and may give for long, would be cut off.
+            if progress.hurry() {
+                return exchange.await;
+            }
             // Danger: after a stall of ours the time is up before the answer that has come is read. So the
             // connection gets a turn, and its reader one.
             for _ in 0..TURNS {
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -13,19 +13,22 @@
 use std::cell::Cell;
 use std::error::Error;
 use std::fmt;
+use std::future::pending;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::AbortHandle;
+use tokio::time::timeout;
 
 const BUFFER: usize = 32_768; // bytes a connection reads ahead at most; some hundreds share our memory
+const HOLD: Duration = Duration::from_millis(100); // from a head, for an answer of no told length to be whole
 const SHORT: u64 = 65_536; // bytes of a body; what is longer is surely not written with its head
 
 /// How far an exchange had come when it broke.
@@ -183,9 +186,18 @@
     long: Cell<Option<Rc<Message>>>,
     /// Grows by one once its message is written whole.
     whole: Option<Count>,
+    /// An answer of no told length has begun, and is held for a moment.
+    held: Cell<bool>,
+    /// Ends that moment.
+    hurry: Notify,
 }
 
 impl Progress {
+    /// Lets an answer that is held go; true if there is one.
+    pub fn hurry(&self) -> bool {
+        self.hurry.notify_one();
+        self.held.get()
+    }
     pub fn counted(whole: &Count) -> Self {
         Progress { whole: Some(whole.clone()), ..Progress::default() }
     }
@@ -292,7 +304,8 @@
         let request = request.map(|body| Marked { body, message: self.message.clone() });
         let broken = |error: hyper::Error| progress.broken(cause(&error));
         let (head, body) = self.sender.send_request(request).await.map_err(broken)?.into_parts();
-        let body = receive(body, most).await.map_err(|cause| Broken { stage: Stage::Written, cause })?;
+        let body =
+            receive(body, most, progress).await.map_err(|cause| Broken { stage: Stage::Written, cause })?;
         self.idle_since = Instant::now();
         Ok(Reply { status: head.status, headers: head.headers, body })
     }
@@ -305,14 +318,28 @@
     pub long: u64,
 }
 
-async fn receive(mut body: Incoming, most: Most) -> Result<Came, Cause> {
+async fn receive(mut body: Incoming, most: Most, progress: &Progress) -> Result<Came, Cause> {
     let told = body.size_hint().exact();
     if told.is_some_and(|told| told > most.long) {
         return Err(Cause::Garbage(format!("a body over {} bytes", most.long)));
     }
     let (mut begun, expected) = (BytesMut::new(), told.unwrap_or(0));
+    let passes_on = most.long > most.collected;
+    // Danger: one of no told length may be long and come slowly, and its time would be over before it shows.
+    progress.held.set(told.is_none() && passes_on);
+    let mut hold = pin!(async {
+        match progress.held.get() {
+            true => drop(timeout(HOLD, progress.hurry.notified()).await),
+            false => pending().await,
+        }
+    });
     while expected <= most.collected && begun.len() as u64 <= most.collected {
-        let Some(frame) = body.frame().await else { return Ok(Came::Whole(begun.freeze())) };
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = hold.as_mut() => break,
+        };
+        let Some(frame) = frame else { return Ok(Came::Whole(begun.freeze())) };
         let Ok(data) = frame.map_err(|error| cause(&error))?.into_data() else { continue };
         if begun.is_empty() && data.len() as u64 == expected && body.is_end_stream() {
             return Ok(Came::Whole(data));
@@ -320,7 +347,7 @@
         begun.extend_from_slice(&data);
     }
     match most.long.checked_sub(begun.len() as u64) {
-        Some(left) if most.long > most.collected => Ok(Came::Long(begun.freeze(), body, left)),
+        Some(left) if passes_on => Ok(Came::Long(begun.freeze(), body, left)),
         _ => Err(Cause::Garbage(format!("a body over {} bytes", most.long))),
     }
 }
--- a/crates/flintwell/src/relay.rs
+++ b/crates/flintwell/src/relay.rs
@@ -77,6 +77,7 @@
     stalled: Pin<Box<Sleep>>,
     waits: bool,
     broken: bool,
+    finished: bool,
     carried: Option<Carried>,
 }
 
@@ -93,6 +94,7 @@
             stalled: Box::pin(sleep(STALL)),
             waits: false,
             broken: false,
+            finished: false,
             carried: None,
         }
     }
@@ -123,7 +125,10 @@
                     return Poll::Ready(Some(Ok(Frame::data(data))));
                 }
                 Poll::Ready(Some(Err(_))) => return self.breaks("broken off by its node"),
-                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Ready(None) => {
+                    self.finished = true;
+                    return Poll::Ready(None);
+                }
                 Poll::Pending => {
                     if !std::mem::replace(&mut self.waits, true) {
                         self.stalled.as_mut().reset(Instant::now() + STALL);
@@ -147,7 +152,7 @@
 impl Drop for Relay {
     /// Passed on whole, broken by its node, or left by its client; who left is not counted.
     fn drop(&mut self) {
-        let whole = !self.broken && self.ended();
+        let whole = !self.broken && (self.finished || self.ended());
         if let Some(link) = self.link.take().filter(|_| whole) {
             self.pool.give_back(&self.node, link);
         }
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -100,8 +100,8 @@
     let (stop, shutdown) = shutdown::new();
     let room = Arc::new(Semaphore::new(connections));
     let rooms = [(room.clone(), connections), (pool.room(), connections)];
-    let sharing = succession.clone();
-    spawn_local(lasting("shares", async move || sharing.share(&rooms).await));
+    let (sharing, stopping) = (succession.clone(), shutdown.clone());
+    spawn_local(lasting("shares", async move || sharing.share(&rooms, &stopping).await));
     if let Some(listener) = management {
         let (counts, desk, shutdown) = (counts.clone(), desk.clone(), shutdown.clone());
         let office = Rc::new(Office { counts, desk, roster, shutdown });
@@ -110,7 +110,6 @@
     }
     let hand_offs = HandOffs::new(pool, counts.clone());
     let budget = Budget::new(config.bodies);
-    let counted = counts.clone();
     let front = Front { desk, hand_offs, counts, network, budget, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
@@ -119,9 +118,7 @@
     let accepting =
         spawn_local(lasting("accept", async move || accept::accept(&listener, &doors, &front).await));
     let successor = || inherits && succession.succeeded();
-    let stopped = stop
-        .on_signal(accepting, room, connections as u32, longest, successor, || counted.in_hand() > 0)
-        .await;
+    let stopped = stop.on_signal(accepting, room, connections as u32, longest, successor).await;
     stopped.map_err(|e| format!("signals: {e}"))
 }
 
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -17,8 +17,7 @@
 const LAST: Duration = Duration::from_millis(600); // after the signal, with a successor; what comes is answered
 const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
 
-const LOOK: Duration = Duration::from_millis(50); // between looks at what is still in hand
-const LOOKS: u32 = 1_200; // of them; a minute, in which a slow reader takes some MB
+const READS: Duration = Duration::from_secs(60); // beyond the longest outer limit, for clients that read slowly
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -78,8 +77,7 @@
 impl Stop {
     /// Waits for the signal, then sees the stop through: `accepting` ends once the door is closed, clients'
     /// connections hold a part of `room`, and none has an access in hand for longer than `longest`. Whether
-    /// another process goes on at our socket is asked at the signal; past `longest` we end once nothing is in
-    /// hand any more.
+    /// another process goes on at our socket is asked at the signal.
     pub async fn on_signal(
         self,
         accepting: JoinHandle<()>,
@@ -87,7 +85,6 @@
         connections: u32,
         longest: Duration,
         successor: impl FnOnce() -> bool,
-        in_hand: impl Fn() -> bool,
     ) -> std::io::Result<()> {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         tokio::select! {
@@ -108,17 +105,9 @@
             let _ = accepting.await;
             let _ = room.acquire_many(connections).await;
         };
-        let mut closed = timeout(longest, rest).await.is_ok();
         // Danger: a long answer that its client still reads would be cut off by us.
-        for _ in 0..LOOKS {
-            closed |= !in_hand();
-            if closed {
-                break;
-            }
-            sleep(LOOK).await;
-        }
-        if !closed {
-            say!("stopped with accesses still in hand");
+        if timeout(longest + READS, rest).await.is_err() {
+            say!("stopped with connections still open");
         }
         Ok(())
     }
--- a/crates/flintwell/src/succession.rs
+++ b/crates/flintwell/src/succession.rs
@@ -1,6 +1,7 @@
 //! Which processes of this proxy live: each holds a locked file while it does, and says in it once it serves.
 
 use crate::say;
+use crate::shutdown::Shutdown;
 use crate::store::Store;
 use std::fs::{File, TryLockError};
 use std::io::{self, Read, Seek, Write};
@@ -78,10 +79,11 @@
 
     /// Keeps half of each room back while another process lives. Danger: to the limit on descriptors both
     /// are one.
-    pub async fn share(&self, rooms: &[(Arc<Semaphore>, usize)]) {
+    pub async fn share(&self, rooms: &[(Arc<Semaphore>, usize)], shutdown: &Shutdown) {
         let mut kept: Vec<OwnedSemaphorePermit> = Vec::new();
         let mut shared = false;
-        while self.lock.is_some() {
+        // Danger: what is kept back here would pass for connections still open, and hold up our end.
+        while self.lock.is_some() && !shutdown.begun() {
             if shared != self.another() {
                 shared = !shared;
                 say!("{}", if shared { "another process of ours lives" } else { "alone again" });
@@ -99,6 +101,7 @@
             }
             sleep(LOOK).await;
         }
+        drop(kept);
         std::future::pending().await
     }
 }
@@ -112,6 +115,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::shutdown;
 
     #[tokio::test]
     async fn only_a_younger_process_that_lives_and_serves_succeeds_us_and_rooms_are_shared_meanwhile() {
@@ -121,7 +125,7 @@
         let old = Succession::open(store.clone(), 1).expect("the old one");
         assert!(!old.another() && !old.succeeded());
         let room = Arc::new(Semaphore::new(10));
-        let sharing = [(room.clone(), 10)];
+        let (sharing, (_stop, shutdown)) = ([(room.clone(), 10)], shutdown::new());
         let work = async {
             sleep(LOOK * 3).await;
             assert_eq!(room.available_permits(), 10);
@@ -140,7 +144,7 @@
             assert_eq!(room.available_permits(), 10);
         };
         tokio::select! {
-            () = old.share(&sharing) => {}
+            () = old.share(&sharing, &shutdown) => {}
             () = work => {}
         }
         std::fs::remove_dir_all(&below).expect("cleared");
--- a/crates/flintwell/tests/process/streams.rs
+++ b/crates/flintwell/tests/process/streams.rs
@@ -37,6 +37,17 @@
     to.write_all(end.as_bytes())
 }
 
+fn slowly(mut to: &TcpStream) -> std::io::Result<()> {
+    to.write_all(b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    for _ in 0..20 {
+        to.write_all(b"1000\r\n")?;
+        to.write_all(&[b'x'; 0x1000])?;
+        to.write_all(b"\r\n")?;
+        thread::sleep(Duration::from_millis(80));
+    }
+    to.write_all(b"0\r\n\r\n")
+}
+
 fn endless(mut to: &TcpStream) -> std::io::Result<()> {
     to.write_all(b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     loop {
@@ -100,6 +111,59 @@
     assert_eq!(figures(at)["in_progress"], json!(0));
 }
 
+#[test]
+fn an_answer_of_no_told_length_that_comes_slowly_is_passed_on() {
+    let proxy = Proxy::start(&with_cache(slowly));
+    let mut client = proxy.client();
+    let start = Instant::now();
+    client.begin("read", "k");
+    assert!(head(&mut client).contains("transfer-encoding: chunked"));
+    assert!(start.elapsed() < Duration::from_millis(500), "{:?}", start.elapsed());
+    let mut came = Vec::new();
+    client.0.get_mut().set_read_timeout(Some(Duration::from_millis(500))).expect("a limit");
+    let _ = client.0.read_to_end(&mut came);
+    assert!(came.ends_with(b"\r\n0\r\n\r\n") && came.len() > 20 * 0x1000, "{} bytes", came.len());
+}
+
+/// Patience with a cache may be shorter than the moment for which such an answer is held.
+#[test]
+fn an_answer_that_has_begun_is_not_cut_off_by_patience() {
+    let cache = Server::start(|_, _| Does::Writes(slowly));
+    let (mut config, at) = managed(config(cache.addr, misses().addr));
+    config["settings"]["use_cases"][0]["goal_time"] = json!(0.1);
+    let proxy = Proxy::start(&config);
+    let mut client = proxy.client();
+    client.begin("read", "k");
+    assert!(head(&mut client).starts_with("http/1.1 200"));
+    client.0.get_mut().set_read_timeout(Some(Duration::from_millis(500))).expect("a limit");
+    let mut came = Vec::new();
+    let _ = client.0.read_to_end(&mut came);
+    assert!(came.ends_with(b"\r\n0\r\n\r\n"), "{} bytes", came.len());
+    assert_eq!((figures(at)["passed"]["read"].clone(), cache.heard().len()), (json!(1), 1));
+}
+
+/// Its last bytes stood in the connection's hands while it counted as idle, and a stop closed it.
+#[test]
+fn the_end_of_an_answer_that_is_read_slowly_is_not_lost_at_a_stop() {
+    let (config, at) = managed(with_cache(long));
+    let mut proxy = Proxy::start(&config);
+    let mut client = proxy.client();
+    client.begin("read", "k");
+    head(&mut client);
+    let (mut block, mut came) = (vec![0; 16_384], 0);
+    // Until all has come from its node, and what the kernel does not take stands in our hands.
+    while came < LONG - (10 << 20) || figures(at)["in_progress"] == json!(1) {
+        client.0.read_exact(&mut block).expect("a block");
+        came += block.len();
+    }
+    proxy.signal("-TERM");
+    thread::sleep(Duration::from_millis(1_500));
+    let mut rest = Vec::new();
+    let _ = client.0.read_to_end(&mut rest);
+    assert_eq!(came + rest.len(), LONG);
+    assert!(proxy.child.wait().expect("its end").success());
+}
+
 #[test]
 fn a_planned_stop_waits_for_a_long_answer_that_is_still_read() {
     let mut proxy = Proxy::start(&with_cache(long));
