With a successor idle connections close at once and what ends later is turned back

Idle connections, left open for 0.6 s, went on bringing accesses with long answers (shutdown.rs), and a head or body that came slowly ended only then. Idle ones close at once now, what ends later is turned back by front.rs and comes again at the successor; a head in the midst of which a plain stop comes is waited for. Ruled out: connections ended mid-message by us (a line for each, none logged), stalls, patience.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -138,15 +138,14 @@
     }
     /// Bytes have come on it.
     fn hears(&self) {
-        let Some(place) = self.idle.get() else { return };
-        if place.0 == Heard::Nothing {
-            let owes = self.owes.get();
-            self.busy();
-            self.owes.set(owes);
-            self.idles(Heard::Part, place.1.saturating_duration_since(Instant::now()));
-        } else if self.owes.get().is_none() {
-            self.owes.set(Some(Instant::now()));
-        }
+        let Some(place) = self.idle.get().filter(|place| place.0 != Heard::Part) else { return };
+        let (now, since) = (Instant::now(), self.owes.get());
+        self.busy();
+        self.owes.set(since.or(Some(now)));
+        self.idles(Heard::Part, place.1.saturating_duration_since(now));
+    }
+    fn heard(&self, what: Heard) -> bool {
+        self.idle.get().is_some_and(|place| place.0 == what)
     }
     /// Ends once the end of a head is overdue. Danger: a connection that says nothing, or begins a head and
     /// never ends it, would be kept for as long as one that is used.
@@ -339,13 +338,21 @@
             _ = connection.as_mut() => return,
             () = client.head_overdue() => return,
             () = client.stands_still() => return,
-            () = client.close.notified() => connection.as_mut().graceful_shutdown(),
-            () = idle_closed => connection.as_mut().graceful_shutdown(),
+            () = client.close.notified() => {}
+            () = idle_closed => {
+                // Danger: a head that comes slowly is cut off by a stop, though its access could be answered.
+                if client.heard(Heard::Part) {
+                    tokio::select! {
+                        _ = connection.as_mut() => return,
+                        () = client.head_overdue() => return,
+                    }
+                }
+            }
         }
+        connection.as_mut().graceful_shutdown();
         // Danger: a client that began an access and never ends its head would keep its place; of hundreds that
         // say nothing each would, while others wait for it.
-        let silent = client.idle.get().is_some_and(|place| place.0 == Heard::Nothing);
-        let ends = if silent { LAST_LOOK } else { HEAD_ENDS };
+        let ends = if client.heard(Heard::Nothing) { LAST_LOOK } else { HEAD_ENDS };
         let ended = timeout(ends, connection.as_mut()).await.is_ok();
         if !ended && client.idle.get().is_none() {
             let _ = connection.await;
--- a/crates/flintwell/src/front.rs
+++ b/crates/flintwell/src/front.rs
@@ -37,6 +37,12 @@
             return Answer::Ready(!self.shutdown.begun());
         }
         match Access::decode(request, framing, &self.network, &self.budget).await {
+            // It came slowly, or crossed the closing; a successor has longer to answer it than we have.
+            Ok(access) if self.shutdown.succeeded() => {
+                let answer = Answer::TurnedBack { stay_away: 0 };
+                self.counts.ended(access.use_case, &answer);
+                answer
+            }
             Ok(access) => access::serve(access, &self.desk, &self.hand_offs, &self.counts).await,
             Err(malformed) => Answer::Malformed(malformed),
         }
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -1,6 +1,6 @@
 //! A planned stop, in steps: every answer closes its connection while clients still come; idle connections
 //! are closed while what crosses that can come again on a new one; the door closes; the rest is answered. With
-//! a successor at the same socket the door closes at once.
+//! a successor at the same socket the door and idle connections are closed at once.
 
 use crate::say;
 use std::cell::Cell;
@@ -14,7 +14,6 @@
 
 const CALM: Duration = Duration::from_millis(450); // after the signal; clients still come for a while
 const DOOR: Duration = Duration::from_millis(100); // more; the way of an access that comes again
-const LAST: Duration = Duration::from_millis(600); // after the signal, with a successor; what comes is answered
 const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
 
 const READS: Duration = Duration::from_secs(60); // beyond the longest outer limit, for clients that read slowly
@@ -94,7 +93,8 @@
         self.succeeded.set(successor());
         say!("stopping{}", if self.succeeded.get() { ", another goes on" } else { "" });
         self.phases.send_replace(Phase::Begun);
-        let (calm, door) = if self.succeeded.get() { (LAST, Duration::ZERO) } else { (CALM, DOOR) };
+        // Danger: a long answer to what is taken from now on is cut off by SIGKILL; so it goes to the successor.
+        let (calm, door) = if self.succeeded.get() { (Duration::ZERO, DOOR) } else { (CALM, DOOR) };
         for (wait, phase) in [(calm, Phase::IdleClosed), (door, Phase::DoorClosed), (LATE, Phase::AllClosed)]
         {
             sleep(wait).await;
--- a/crates/flintwell/tests/process/streams.rs
+++ b/crates/flintwell/tests/process/streams.rs
@@ -142,6 +142,34 @@
     assert_eq!((figures(at)["passed"]["read"].clone(), cache.heard().len()), (json!(1), 1));
 }
 
+#[test]
+fn a_head_that_comes_slowly_is_answered_though_we_stop() {
+    let cache = Server::start(|_, _| Does::Answers(200, "value"));
+    let mut proxy = Proxy::start(&config(cache.addr, misses().addr));
+    // One on a new connection, one on a used one.
+    let (mut new, mut used) = (proxy.client(), proxy.client());
+    assert_eq!(used.ask("read", "first").status(), 200);
+    for part in
+        ["GET /api/k HTTP/1.1\r\nX-Reque", "st-Id: ", "X-Class: read\r\n", "X-Deadline: 1\r\n", "\r\n"]
+    {
+        for (client, id) in [(&mut new, "a\r\n"), (&mut used, "b\r\n")] {
+            client.send(part);
+            if part.ends_with("Id: ") {
+                client.send(id);
+            }
+        }
+        if part.starts_with("GET") {
+            proxy.signal("-TERM");
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+    for client in [&mut new, &mut used] {
+        let answer = client.read().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert!(proxy.child.wait().expect("its end").success());
+}
+
 /// Its last bytes stood in the connection's hands while it counted as idle, and a stop closed it.
 #[test]
 fn the_end_of_an_answer_that_is_read_slowly_is_not_lost_at_a_stop() {
