One patience with peers that bring nothing serves bodies and answers

The change read once more. relay.rs and body.rs each kept the same timer for a peer that is waited for: one `Patience` in clock.rs now. link.rs counted by hand what counts.rs has a function for, and worded one refusal twice; shutdown.rs chose between two equal times for the door. Left: the folder for temporary files is read by two parts, ten and twenty times a second.

--- a/crates/flintwell/src/body.rs
+++ b/crates/flintwell/src/body.rs
@@ -1,5 +1,6 @@
 //! The body of an access: kept whole while the process has room for it, else passed on to one node as it comes.
 
+use crate::clock::Patience;
 use crate::decode::Malformed;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -12,7 +13,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, Sleep, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 pub const LONGEST: u64 = 32 << 20; // bytes; the longest body or answer that there is
 const WITHIN: Duration = Duration::from_millis(1_300); // for a body beyond what its bytes take; a bad one is told soon
@@ -93,8 +94,7 @@
     next: Bytes,
     rest: Incoming,
     told: Option<u64>,
-    stalled: Pin<Box<Sleep>>,
-    waits: bool,
+    patience: Patience,
     end: Rc<End>,
 }
 
@@ -137,9 +137,8 @@
             if !kept.push(&mut data, told) {
                 kept.seal();
                 let end = Rc::<End>::default();
-                let stalled = Box::pin(sleep(STALL));
-                let passing =
-                    Passing { kept, next: data, rest: body, told, stalled, waits: false, end: end.clone() };
+                let patience = Patience::new(STALL);
+                let passing = Passing { kept, next: data, rest: body, told, patience, end: end.clone() };
                 return Ok(Payload::Passing(Cell::new(Some(Box::new(passing))), end));
             }
         }
@@ -228,14 +227,14 @@
             None => std::mem::take(&mut self.next),
         };
         if !next.is_empty() {
-            self.waits = false;
+            self.patience.renew();
             return Poll::Ready(Some(Ok(self.piece(next))));
         }
         loop {
             match Pin::new(&mut self.rest).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.waits = false;
+                    self.patience.renew();
                     self.kept.length += data.len() as u64;
                     if self.kept.length > LONGEST {
                         return self.breaks(Malformed::BodyTooLong);
@@ -248,11 +247,7 @@
                     return Poll::Ready(None);
                 }
                 Poll::Pending => {
-                    // Only the time in which its client is waited for counts.
-                    if !std::mem::replace(&mut self.waits, true) {
-                        self.stalled.as_mut().reset(Instant::now() + STALL);
-                    }
-                    return match self.stalled.as_mut().poll(cx) {
+                    return match self.patience.poll(cx) {
                         Poll::Ready(()) => self.breaks(Malformed::BodyLate),
                         Poll::Pending => Poll::Pending,
                     };
--- a/crates/flintwell/src/clock.rs
+++ b/crates/flintwell/src/clock.rs
@@ -2,7 +2,10 @@
 
 use flintwell_core::interface::Micros;
 use std::cell::Cell;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::time::{Sleep, sleep};
 
 const BEAT: Micros = 10_000; // us; fine beside outer limits, and nothing beside an access's work
 const STALL: Micros = 40_000; // us since the beat before last; twice what it is while all goes well
@@ -53,6 +56,31 @@
     }
 }
 
+/// How long a peer may bring nothing while it is waited for.
+pub struct Patience {
+    most: Duration,
+    ends: Pin<Box<Sleep>>,
+    waits: bool,
+}
+
+impl Patience {
+    pub fn new(most: Duration) -> Self {
+        Patience { most, ends: Box::pin(sleep(most)), waits: false }
+    }
+    /// Something has come.
+    pub fn renew(&mut self) {
+        self.waits = false;
+    }
+    /// Nothing has come: ready once the peer has been waited for too long.
+    pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        // Only the time in which it is waited for counts.
+        if !std::mem::replace(&mut self.waits, true) {
+            self.ends.as_mut().reset(tokio::time::Instant::now() + self.most);
+        }
+        self.ends.as_mut().poll(cx)
+    }
+}
+
 pub fn span(time: Micros) -> Duration {
     Duration::from_micros(time.max(0) as u64)
 }
--- a/crates/flintwell/src/counts.rs
+++ b/crates/flintwell/src/counts.rs
@@ -10,7 +10,7 @@
 /// A count that grows where its thing happens.
 pub type Count = Rc<Cell<u64>>;
 
-fn one_more(count: &Cell<u64>) {
+pub fn one_more(count: &Cell<u64>) {
     count.set(count.get() + 1);
 }
 
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -1,7 +1,7 @@
 //! One connection to a cache node, the origin or discovery: an exchange at a time, nothing sent again.
 
 use crate::body::Outgoing;
-use crate::counts::Count;
+use crate::counts::{Count, one_more};
 use bytes::{Bytes, BytesMut};
 use flintwell_core::interface::Ending;
 use http_body_util::BodyExt;
@@ -169,7 +169,7 @@
     /// Called once all that was to be written so far is.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.message.ended.get() && !self.message.written.replace(true) {
-            self.message.whole.take().inspect(|count| count.set(count.get() + 1));
+            self.message.whole.take().inspect(|count| one_more(count));
         }
         Poll::Ready(Ok(()))
     }
@@ -320,8 +320,9 @@
 
 async fn receive(mut body: Incoming, most: Most, progress: &Progress) -> Result<Came, Cause> {
     let told = body.size_hint().exact();
+    let too_long = || Err(Cause::Garbage(format!("a body over {} bytes", most.long)));
     if told.is_some_and(|told| told > most.long) {
-        return Err(Cause::Garbage(format!("a body over {} bytes", most.long)));
+        return too_long();
     }
     let (mut begun, expected) = (BytesMut::new(), told.unwrap_or(0));
     let passes_on = most.long > most.collected;
@@ -348,7 +349,7 @@
     }
     match most.long.checked_sub(begun.len() as u64) {
         Some(left) if passes_on => Ok(Came::Long(begun.freeze(), body, left)),
-        _ => Err(Cause::Garbage(format!("a body over {} bytes", most.long))),
+        _ => too_long(),
     }
 }
 
--- a/crates/flintwell/src/relay.rs
+++ b/crates/flintwell/src/relay.rs
@@ -1,5 +1,6 @@
 //! A node's answer on its way to the client: whole, or a long one passed on piece by piece.
 
+use crate::clock::Patience;
 use crate::counts::{Counts, InHand};
 use crate::desk::Seat;
 use crate::link::Link;
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::{Instant, Sleep, sleep};
 
 pub const STALL: Duration = Duration::from_secs(10); // of either side; peers take seconds
 
@@ -74,8 +74,7 @@
     node: NodeId,
     pool: Rc<Pool>,
     link: Option<Link>,
-    stalled: Pin<Box<Sleep>>,
-    waits: bool,
+    patience: Patience,
     broken: bool,
     finished: bool,
     carried: Option<Carried>,
@@ -91,8 +90,7 @@
             node,
             pool,
             link: Some(link),
-            stalled: Box::pin(sleep(STALL)),
-            waits: false,
+            patience: Patience::new(STALL),
             broken: false,
             finished: false,
             carried: None,
@@ -116,7 +114,7 @@
             match Pin::new(&mut self.rest).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    self.waits = false;
+                    self.patience.renew();
                     // Danger: an answer without end would be passed on for as long as its client reads.
                     let Some(left) = self.left.checked_sub(data.len() as u64) else {
                         return self.breaks("longer than any answer");
@@ -130,10 +128,7 @@
                     return Poll::Ready(None);
                 }
                 Poll::Pending => {
-                    if !std::mem::replace(&mut self.waits, true) {
-                        self.stalled.as_mut().reset(Instant::now() + STALL);
-                    }
-                    return match self.stalled.as_mut().poll(cx) {
+                    return match self.patience.poll(cx) {
                         Poll::Ready(()) => self.breaks("its node stands still"),
                         Poll::Pending => Poll::Pending,
                     };
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -15,7 +15,6 @@
 const CALM: Duration = Duration::from_millis(450); // after the signal; clients still come for a while
 const DOOR: Duration = Duration::from_millis(100); // more; the way of an access that comes again
 const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
-
 const READS: Duration = Duration::from_secs(60); // beyond the longest outer limit, for clients that read slowly
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -94,8 +93,8 @@
         say!("stopping{}", if self.succeeded.get() { ", another goes on" } else { "" });
         self.phases.send_replace(Phase::Begun);
         // Danger: a long answer to what is taken from now on is cut off by SIGKILL; so it goes to the successor.
-        let (calm, door) = if self.succeeded.get() { (Duration::ZERO, DOOR) } else { (CALM, DOOR) };
-        for (wait, phase) in [(calm, Phase::IdleClosed), (door, Phase::DoorClosed), (LATE, Phase::AllClosed)]
+        let calm = if self.succeeded.get() { Duration::ZERO } else { CALM };
+        for (wait, phase) in [(calm, Phase::IdleClosed), (DOOR, Phase::DoorClosed), (LATE, Phase::AllClosed)]
         {
             sleep(wait).await;
             self.phases.send_replace(phase);
