Long answers are handed to the successor, with both sockets, where the old process stopped

A slow reader takes longer than the old process has: at fault is that accept.rs and relay.rs could end such an answer only by waiting for it.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -1,20 +1,24 @@
 //! Accepts clients' connections, as many as there is room for, and serves each until it ends.
 
+use crate::carry::Carry;
 use crate::framing::Scanner;
 use crate::front::Front;
-use crate::relay::{Content, STALL};
+use crate::handover::{self, Heir};
+use crate::relay::{Carried, Content, STALL, Way};
 use crate::say;
+use crate::stream::Shared;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -38,6 +42,7 @@
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
 const PAUSE: Duration = Duration::from_millis(50); // after a failure, so that it never spins
 const FREE_WITHIN: Duration = Duration::from_secs(5); // for a forerunner to end; a planned stop takes less
+const CUT_TURNS: usize = 256; // of the runtime; far more than what is read ahead of an answer takes
 const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
 
 /// Clients' connections, by how long they have stood idle.
@@ -76,10 +81,18 @@
     full: Cell<Option<Instant>>,
     /// Its answer is in the connection's hands, and not all of it written.
     answered: Cell<bool>,
+    stream: Rc<TcpStream>,
+    /// The long answer that is on its way to it, and a word when one is.
+    long: RefCell<Option<Rc<Way>>>,
+    begins: Notify,
+    /// It takes answers in chunks.
+    chunks: Cell<bool>,
+    /// Once its answer is to be handed over: what the connection would have written to it.
+    unwritten: RefCell<Option<Vec<u8>>>,
 }
 
 impl Clients {
-    fn enter(self: &Rc<Self>) -> Rc<Client> {
+    fn enter(self: &Rc<Self>, stream: TcpStream) -> Rc<Client> {
         self.open.set(self.open.get() + 1);
         let owes = Cell::new(Some(Instant::now()));
         let client = Client {
@@ -90,6 +103,11 @@
             scanner: RefCell::default(),
             full: Cell::default(),
             answered: Cell::default(),
+            stream: Rc::new(stream),
+            long: RefCell::default(),
+            begins: Notify::new(),
+            chunks: Cell::default(),
+            unwritten: RefCell::default(),
         };
         // Danger: a fresh connection's first access may be on the way, and the next one's too.
         client.idles(Heard::Nothing, FRESH);
@@ -100,7 +118,7 @@
     /// accesses wait in the backlog, and those would be lost; and hundreds that connect and say nothing would
     /// push out those that are used. So what has said nothing goes first, then what has stood idle longest.
     async fn make_room(&self, room: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
-        let mut permit = std::pin::pin!(room.clone().acquire_owned());
+        let mut permit = pin!(room.clone().acquire_owned());
         loop {
             let full = room.available_permits() == 0;
             // Danger: clients that ask once and stay, and may hold fewer than there is room for here, have none
@@ -128,6 +146,7 @@
     fn busy(&self) {
         self.owes.set(None);
         self.answered.set(false);
+        self.long.take();
         self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
     }
     fn idles(&self, heard: Heard, kept_for: Duration) {
@@ -159,6 +178,40 @@
             tokio::time::sleep(left).await;
         }
     }
+    /// Ends once a long answer is on its way to it.
+    async fn long_begins(&self) {
+        while self.long.borrow().is_none() {
+            self.begins.notified().await;
+        }
+    }
+    /// What is left of the answer that `connection` gives, cut off between two bytes. Danger: what is with the
+    /// connection, or was read from the node, would be left out; so both let go of all they have first. None if
+    /// it broke meanwhile.
+    async fn cut<C: Future<Output = hyper::Result<()>>>(
+        &self,
+        mut connection: Pin<&mut C>,
+        way: &Way,
+    ) -> Option<(Carry, Option<Carried>)> {
+        self.unwritten.replace(Some(Vec::new()));
+        for _ in 0..CUT_TURNS {
+            let through = way.through();
+            match poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx))).await {
+                Poll::Ready(Err(_)) => return None,
+                Poll::Ready(Ok(())) => {}
+                // All that was through is now written, as nothing holds up writing.
+                Poll::Pending if !through => {
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+                Poll::Pending => {}
+            }
+            let unwritten = self.unwritten.borrow_mut().as_mut().map(std::mem::take)?;
+            let (rest, left) = way.rest();
+            let carry = Carry { client: self.stream.clone(), unwritten, rest, chunked: !way.told, left };
+            return (!way.broken()).then_some((carry, way.carried()));
+        }
+        None
+    }
     /// Ends once it has taken nothing for too long.
     async fn stands_still(&self) {
         while self.full.get().is_none_or(|since| since.elapsed() < STALL) {
@@ -199,7 +252,7 @@
 
 /// A client's stream, which tells when a head begins.
 struct Listened {
-    stream: TcpStream,
+    stream: Shared,
     client: Rc<Client>,
 }
 
@@ -209,6 +262,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
+        if self.client.unwritten.borrow().is_some() {
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         if buf.filled().len() > before {
@@ -225,6 +281,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
+        if let Some(unwritten) = self.client.unwritten.borrow_mut().as_mut() {
+            unwritten.extend_from_slice(buf);
+            return Poll::Ready(Ok(buf.len()));
+        }
         let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
         let since = self.client.full.get().or_else(|| Some(Instant::now()));
         self.client.full.set(since.filter(|_| wrote.is_pending()));
@@ -234,11 +294,16 @@
     /// not taken yet would be lost with a connection that counts as idle.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         if self.client.answered.take() {
+            self.client.long.take();
             self.client.idles(Heard::Access, USED);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        // The socket is shared with whoever goes on with it.
+        if self.client.unwritten.borrow().is_some() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
@@ -304,12 +369,20 @@
 
 fn admit(stream: TcpStream, permit: Option<OwnedSemaphorePermit>, front: Front, clients: &Rc<Clients>) {
     let idle_closed = front.shutdown.idle_closed();
-    let client = clients.enter();
+    let taken_over = front.shutdown.clone();
+    if let Err(error) = stream.set_nodelay(true) {
+        say!("a client's connection: {error}");
+    }
+    let client = clients.enter(stream);
     let stack = ServiceBuilder::new()
         .map_response({
             let client = client.clone();
             move |answer: Response<Content>| {
                 let client = client.clone();
+                if let Content::Long(relay) = answer.body() {
+                    client.long.replace(Some(relay.way.clone()));
+                    client.begins.notify_one();
+                }
                 answer.map(|content| Answering { content, client })
             }
         })
@@ -317,6 +390,7 @@
             let client = client.clone();
             move |mut request: Request<Incoming>| {
                 client.busy();
+                client.chunks.set(request.version() == Version::HTTP_11);
                 request.extensions_mut().insert(client.scanner.borrow_mut().next());
                 request
             }
@@ -326,11 +400,14 @@
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_MOST).max_buf_size(BUFFER);
     tokio::task::spawn_local(async move {
         let _permit = permit;
-        if let Err(error) = stream.set_nodelay(true) {
-            say!("a client's connection: {error}");
-        }
-        let heard = TokioIo::new(Listened { stream, client: client.clone() });
-        let mut connection = std::pin::pin!(http.serve_connection(heard, TowerToHyperService::new(stack)));
+        let heard = TokioIo::new(Listened { stream: Shared(client.stream.clone()), client: client.clone() });
+        let mut connection = pin!(http.serve_connection(heard, TowerToHyperService::new(stack)));
+        // A successor takes over the long answers that have begun, and those that begin from now on.
+        let mut handed = pin!(async {
+            let heir = taken_over.heir().await;
+            client.long_begins().await;
+            heir
+        });
         // Whether a client's connection ended well or badly, the access on it was told by its seat.
         tokio::select! {
             // First, so that an access that has come is read before its connection counts as idle.
@@ -339,6 +416,7 @@
             () = client.head_overdue() => return,
             () = client.stands_still() => return,
             () = client.close.notified() => {}
+            heir = handed.as_mut() => return leave(connection, &client, &heir).await,
             () = idle_closed => {
                 // Danger: a head that comes slowly is cut off by a stop, though its access could be answered.
                 if client.heard(Heard::Part) {
@@ -355,22 +433,46 @@
         let ends = if client.heard(Heard::Nothing) { LAST_LOOK } else { HEAD_ENDS };
         let ended = timeout(ends, connection.as_mut()).await.is_ok();
         if !ended && client.idle.get().is_none() {
-            let _ = connection.await;
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => {}
+                heir = handed => leave(connection, &client, &heir).await,
+            }
         }
     });
 }
 
+/// Hands the long answer that is on its way to the successor, if it can be cut off.
+async fn leave<C: Future<Output = hyper::Result<()>>>(
+    mut connection: Pin<&mut C>,
+    client: &Rc<Client>,
+    heir: &Heir,
+) {
+    let way = client.long.borrow().clone();
+    match way.filter(|way| (way.told || client.chunks.get()) && way.halt()) {
+        Some(way) => {
+            if let Some((carry, carried)) = client.cut(connection.as_mut(), &way).await {
+                handover::hand_over(heir, carry, carried).await;
+            }
+        }
+        // It ends here, if its client takes it in time.
+        None => tokio::select! {
+            _ = connection => {}
+            () = client.stands_still() => {}
+        },
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::future::poll_fn;
 
     #[tokio::test]
     async fn a_client_is_busy_until_the_last_byte_of_its_answer_is_written() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let stream = TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a stream");
-        let client = Rc::new(Clients::default()).enter();
-        let mut listened = Listened { stream, client: client.clone() };
+        let client = Rc::new(Clients::default()).enter(stream);
+        let mut listened = Listened { stream: Shared(client.stream.clone()), client: client.clone() };
         client.busy();
         let (content, answered) = (Bytes::from_static(b"value").into(), client.clone());
         drop(Answering { content, client: answered });
--- a/crates/flintwell/src/framing.rs
+++ b/crates/flintwell/src/framing.rs
@@ -1,6 +1,7 @@
-//! How a client's messages are framed, by their raw heads: what a parser that takes a length out of a head
-//! no longer shows.
+//! How messages are framed, by their raw bytes: what a parser that takes a length out of a head, or a body out
+//! of its chunks, no longer shows.
 
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
 const HEAD_MOST: usize = 65_536; // bytes of a head that are kept; longer ones are refused before
@@ -80,6 +81,125 @@
     }
 }
 
+/// Where a body in chunks stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Chunks {
+    /// In the size of the next, as read so far.
+    Size(u64),
+    /// Behind that size, in its line.
+    Extension(u64),
+    /// Bytes that are left of one.
+    Data(u64),
+    /// Before the end of the line behind one.
+    Behind,
+    /// Behind the last, in a line that is empty so far.
+    Trailer(bool),
+    End,
+}
+
+/// How what is left of a body comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Coding {
+    /// As it is, so many bytes.
+    Length(u64),
+    Chunks(Chunks),
+}
+
+impl Coding {
+    pub fn ended(self) -> bool {
+        matches!(self, Coding::Length(0) | Coding::Chunks(Chunks::End))
+    }
+
+    /// Reads on: hands out the pieces of the body among these bytes. False where they are no such body.
+    pub fn read(&mut self, mut bytes: &[u8], mut piece: impl FnMut(&[u8])) -> bool {
+        while !bytes.is_empty() && !self.ended() {
+            let (left, behind) = match self {
+                Coding::Length(left) => (*left, None),
+                Coding::Chunks(Chunks::Data(left)) => (*left, Some(Chunks::Behind)),
+                Coding::Chunks(chunks) => {
+                    let Some(next) = chunks.then(bytes[0]) else { return false };
+                    (*chunks, bytes) = (next, &bytes[1..]);
+                    continue;
+                }
+            };
+            let taken = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+            piece(&bytes[..taken]);
+            bytes = &bytes[taken..];
+            let left = left - taken as u64;
+            *self = match behind {
+                None => Coding::Length(left),
+                Some(behind) => Coding::Chunks(if left == 0 { behind } else { Chunks::Data(left) }),
+            };
+        }
+        true
+    }
+}
+
+impl Chunks {
+    /// Behind this byte, which is none of a chunk's data.
+    fn then(self, byte: u8) -> Option<Self> {
+        Some(match (self, byte) {
+            (Chunks::Size(0) | Chunks::Extension(0), b'\n') => Chunks::Trailer(true),
+            (Chunks::Size(size) | Chunks::Extension(size), b'\n') => Chunks::Data(size),
+            (Chunks::Size(size), byte) if byte.is_ascii_hexdigit() => {
+                let digit = char::from(byte).to_digit(16)?;
+                Chunks::Size(size.checked_mul(16)?.checked_add(u64::from(digit))?)
+            }
+            (Chunks::Size(size), b'\r' | b';' | b' ' | b'\t') => Chunks::Extension(size),
+            (Chunks::Extension(size), _) => Chunks::Extension(size),
+            (Chunks::Behind, b'\r') => Chunks::Behind,
+            (Chunks::Behind, b'\n') => Chunks::Size(0),
+            (Chunks::Trailer(true), b'\n') => Chunks::End,
+            (Chunks::Trailer(empty), b'\r') => Chunks::Trailer(empty),
+            (Chunks::Trailer(_), byte) => Chunks::Trailer(byte == b'\n'),
+            _ => return None,
+        })
+    }
+}
+
+/// Reads along with what a node answers to one message.
+#[derive(Default)]
+pub struct Answers {
+    head: Vec<u8>,
+    /// How the rest of the body comes; none while the head has not ended, or if it does not say.
+    pub coding: Option<Coding>,
+    /// Bytes of the body that were read.
+    pub body: u64,
+    headed: bool,
+    /// Nothing more is read.
+    pub halted: bool,
+}
+
+impl Answers {
+    pub fn read(&mut self, mut bytes: &[u8]) {
+        while !self.headed && !bytes.is_empty() {
+            self.head.push(bytes[0]);
+            bytes = &bytes[1..];
+            if self.head.ends_with(b"\n") && ends(&self.head) {
+                // A word in between is no answer yet.
+                let between = self.head.split(|b| *b == b' ').nth(1).is_some_and(|s| s.starts_with(b"1"));
+                if !between {
+                    self.headed = true;
+                    self.coding = match framing(&self.head) {
+                        (Framing::Coded, _) => Some(Coding::Chunks(Chunks::Size(0))),
+                        // None told, a body lasts until the connection ends; such a one can't be told apart.
+                        (Framing::Length, length) if length > 0 => Some(Coding::Length(length)),
+                        _ => None,
+                    };
+                }
+                self.head.clear();
+            } else if self.head.len() > HEAD_MOST {
+                self.headed = true;
+            }
+        }
+        let seen = &mut self.body;
+        if !self.coding.as_mut().is_none_or(|coding| coding.read(bytes, |piece| *seen += piece.len() as u64))
+        {
+            self.coding = None;
+        }
+    }
+}
+
 /// An empty line ends a head, whichever way its lines end.
 fn ends(head: &[u8]) -> bool {
     head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n")
@@ -148,6 +268,31 @@
         );
     }
 
+    #[test]
+    fn what_is_left_of_an_answer_is_known_at_each_byte() {
+        let words = b"HTTP/1.1 100 Continue\r\n\r\n";
+        let told = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnine byte".to_vec();
+        let coded = b"HTTP/1.1 200 -\r\ntransfer-encoding: Chunked\r\n\r\n3;x=\"a\"\r\nnin\r\n00A\ne bytes ab\r\n0\r\na: b\r\n\r\n";
+        for (answer, body) in [(&told[..], &b"nine byte"[..]), (coded, b"nine bytes ab")] {
+            let answer = [&words[..], answer].concat();
+            for cut in 0..=answer.len() {
+                let mut answers = Answers::default();
+                answer[..cut].chunks(1 + cut % 3).for_each(|part| answers.read(part));
+                // Another reads on from there.
+                let Some(mut coding) = answers.coding else { continue };
+                let mut rest = Vec::new();
+                assert!(coding.read(&answer[cut..], |piece| rest.extend_from_slice(piece)) && coding.ended());
+                assert_eq!(rest, body[answers.body as usize..], "cut at {cut}");
+            }
+            let mut answers = Answers::default();
+            answers.read(&answer);
+            assert!(answers.coding.is_some_and(Coding::ended), "its end is seen");
+        }
+        for wrong in ["x", "-3\r\n", "ffffffffffffffff0\r\n", "3\r\nnine"] {
+            assert!(!Coding::Chunks(Chunks::Size(0)).read(wrong.as_bytes(), |_| {}), "{wrong}");
+        }
+    }
+
     #[test]
     fn a_head_without_end_is_not_kept() {
         let mut scanner = Scanner::default();
--- a/crates/flintwell/src/link.rs
+++ b/crates/flintwell/src/link.rs
@@ -2,6 +2,8 @@
 
 use crate::body::Outgoing;
 use crate::counts::{Count, one_more};
+use crate::framing::{Answers, Coding};
+use crate::stream::Shared;
 use bytes::{Bytes, BytesMut};
 use flintwell_core::interface::Ending;
 use http_body_util::BodyExt;
@@ -10,16 +12,16 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::fmt;
 use std::future::pending;
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -95,9 +97,10 @@
 
 /// Counts what is written, so that an exchange is known never to have begun; the link sees the same stream.
 struct Counted {
-    stream: Rc<TcpStream>,
+    stream: Shared,
     written: Rc<Cell<u64>>,
     message: Rc<Message>,
+    answers: Rc<RefCell<Answers>>,
 }
 
 /// The message that an exchange writes.
@@ -137,34 +140,28 @@
 }
 
 impl AsyncRead for Counted {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(buf.initialize_unfilled()) {
-                Ok(bytes) => {
-                    buf.advance(bytes);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.answers.borrow().halted {
+            return Poll::Pending;
         }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.answers.borrow_mut().read(&buf.filled()[before..]);
+        read
     }
 }
 
 impl AsyncWrite for Counted {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
-                Ok(bytes) => {
-                    self.written.set(self.written.get() + bytes as u64);
-                    return Poll::Ready(Ok(bytes));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = wrote {
+            self.written.set(self.written.get() + bytes as u64);
         }
+        wrote
     }
     /// Called once all that was to be written so far is.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -173,8 +170,8 @@
         }
         Poll::Ready(Ok(()))
     }
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
@@ -236,6 +233,7 @@
     stream: Weak<TcpStream>,
     written: Rc<Cell<u64>>,
     message: Rc<Message>,
+    answers: Rc<RefCell<Answers>>,
     driver: AbortHandle,
     pub idle_since: Instant,
 }
@@ -249,7 +247,10 @@
         let (stream, written) = (Rc::new(stream), Rc::new(Cell::new(0)));
         let shared = Rc::downgrade(&stream);
         let message = Rc::<Message>::default();
-        let counted = Counted { stream, written: written.clone(), message: message.clone() };
+        let answers = Rc::<RefCell<Answers>>::default();
+        let (stream, written_too) = (Shared(stream), written.clone());
+        let counted =
+            Counted { stream, written: written_too, message: message.clone(), answers: answers.clone() };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER)
             .handshake(TokioIo::new(counted))
@@ -265,6 +266,7 @@
             stream: shared,
             written,
             message,
+            answers,
             driver: driver.abort_handle(),
             idle_since: Instant::now(),
         })
@@ -288,6 +290,26 @@
         self.sender.is_closed()
     }
 
+    /// From now on nothing more is read from it.
+    pub fn halt(&self) {
+        self.answers.borrow_mut().halted = true;
+    }
+
+    pub fn halted(&self) -> bool {
+        self.answers.borrow().halted
+    }
+
+    /// How many bytes of the answer's body were read, and how the rest of it comes, if that is known.
+    pub fn came(&self) -> Option<(u64, Coding)> {
+        let answers = self.answers.borrow();
+        answers.coding.map(|coding| (answers.body, coding))
+    }
+
+    /// The socket, for one who takes over what it still brings.
+    pub fn stream(&self) -> Option<Rc<TcpStream>> {
+        self.stream.upgrade()
+    }
+
     /// Sends and waits for the whole answer, or for as much of a long one as shows that it is.
     pub async fn exchange(
         &mut self,
@@ -296,6 +318,7 @@
         progress: &Progress,
     ) -> Result<Reply, Broken> {
         progress.mark.set(Some((self.written.clone(), self.written.get())));
+        self.answers.replace(Answers::default());
         self.message.ended.set(false);
         self.message.written.set(false);
         let long = request.body().size_hint().exact().is_none_or(|length| length > SHORT);
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -9,6 +9,7 @@
 use crate::discovery::Discovery;
 use crate::front::Front;
 use crate::handoff::HandOffs;
+use crate::handover::{self, Inheritance};
 use crate::inherit;
 use crate::management::{self, Office};
 use crate::pool::Pool;
@@ -29,6 +30,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
+use tokio_seqpacket::UnixSeqpacketListener;
 
 const AGAIN: Duration = Duration::from_millis(100); // before a part starts again; well within a watch
 const OWN_SOCKETS: usize = 32; // descriptors; runtime, signals, log, listener, discovery; some spare
@@ -108,6 +110,16 @@
         let answering = async move || management::answer(&listener, &office).await;
         spawn_local(lasting("second address", answering));
     }
+    if inherits && let Some(path) = succession.takes_over_at() {
+        // Danger: one that can't be reached so would be no reason not to serve.
+        match UnixSeqpacketListener::bind(&path) {
+            Ok(mut listener) => {
+                let heirloom = Inheritance { rooms: [room.clone(), pool.room()], counts: counts.clone() };
+                spawn_local(lasting("hand-over", async move || heirloom.take_over(&mut listener).await));
+            }
+            Err(error) => say!("long answers can't be taken over: {error}"),
+        }
+    }
     let hand_offs = HandOffs::new(pool, counts.clone());
     let budget = Budget::new(config.bodies);
     let front = Front { desk, hand_offs, counts, network, budget, shutdown };
@@ -118,7 +130,8 @@
     let accepting =
         spawn_local(lasting("accept", async move || accept::accept(&listener, &doors, &front).await));
     let successor = || inherits && succession.succeeded();
-    let stopped = stop.on_signal(accepting, room, connections as u32, longest, successor).await;
+    let heir = async || handover::heir(succession.heir().as_deref()).await;
+    let stopped = stop.on_signal(accepting, room, connections as u32, longest, successor, heir).await;
     stopped.map_err(|e| format!("signals: {e}"))
 }
 
--- a/crates/flintwell/src/shutdown.rs
+++ b/crates/flintwell/src/shutdown.rs
@@ -2,8 +2,9 @@
 //! are closed while what crosses that can come again on a new one; the door closes; the rest is answered. With
 //! a successor at the same socket the door and idle connections are closed at once.
 
+use crate::handover::Heir;
 use crate::say;
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +31,7 @@
 pub struct Shutdown {
     phases: watch::Receiver<Phase>,
     succeeded: Rc<Cell<bool>>,
+    heir: Rc<OnceCell<Rc<Heir>>>,
 }
 
 impl Shutdown {
@@ -55,6 +57,14 @@
         let (shutdown, phase) = (self.clone(), if late { Phase::AllClosed } else { Phase::IdleClosed });
         async move { shutdown.reached(phase).await }
     }
+    /// The successor that takes over long answers, once we stop; waits for ever where there is none.
+    pub async fn heir(&self) -> Rc<Heir> {
+        self.reached(Phase::Begun).await;
+        match self.heir.get() {
+            Some(heir) => heir.clone(),
+            None => std::future::pending().await,
+        }
+    }
     async fn reached(&self, least: Phase) {
         // An error means that the phases are over.
         let _ = self.phases.clone().wait_for(|phase| *phase >= least).await;
@@ -64,18 +74,20 @@
 pub struct Stop {
     phases: watch::Sender<Phase>,
     succeeded: Rc<Cell<bool>>,
+    heir: Rc<OnceCell<Rc<Heir>>>,
 }
 
 pub fn new() -> (Stop, Shutdown) {
     let (sender, receiver) = watch::channel(Phase::Serving);
-    let succeeded = Rc::<Cell<bool>>::default();
-    (Stop { phases: sender, succeeded: succeeded.clone() }, Shutdown { phases: receiver, succeeded })
+    let (succeeded, heir) = (Rc::<Cell<bool>>::default(), Rc::default());
+    let shutdown = Shutdown { phases: receiver, succeeded: succeeded.clone(), heir: Rc::clone(&heir) };
+    (Stop { phases: sender, succeeded, heir }, shutdown)
 }
 
 impl Stop {
     /// Waits for the signal, then sees the stop through: `accepting` ends once the door is closed, clients'
     /// connections hold a part of `room`, and none has an access in hand for longer than `longest`. Whether
-    /// another process goes on at our socket is asked at the signal.
+    /// another process goes on at our socket is asked at the signal, and then whether it takes over.
     pub async fn on_signal(
         self,
         accepting: JoinHandle<()>,
@@ -83,13 +95,18 @@
         connections: u32,
         longest: Duration,
         successor: impl FnOnce() -> bool,
+        heir: impl AsyncFnOnce() -> Option<Heir>,
     ) -> std::io::Result<()> {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
         tokio::select! {
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
-        self.succeeded.set(successor());
+        if successor() {
+            // Danger: while it is met we go on as ever, or what is turned back would come to us again.
+            heir().await.map(|heir| self.heir.set(Rc::new(heir)));
+            self.succeeded.set(true);
+        }
         say!("stopping{}", if self.succeeded.get() { ", another goes on" } else { "" });
         self.phases.send_replace(Phase::Begun);
         // Danger: a long answer to what is taken from now on is cut off by SIGKILL; so it goes to the successor.
--- /dev/null
+++ b/crates/flintwell/src/stream.rs
@@ -0,0 +1,46 @@
+//! A socket that a connection's driver reads and writes, while somebody else holds it too.
+
+use socket2::SockRef;
+use std::io;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+pub struct Shared(pub Rc<TcpStream>);
+
+impl AsyncRead for Shared {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read(buf.initialize_unfilled()) {
+                Ok(bytes) => {
+                    buf.advance(bytes);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Shared {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
+    }
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/crates/flintwell/src/succession.rs
+++ b/crates/flintwell/src/succession.rs
@@ -5,12 +5,14 @@
 use crate::store::Store;
 use std::fs::{File, TryLockError};
 use std::io::{self, Read, Seek, Write};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::sleep;
 
 const MARK: &str = "process-"; // begins the name of a process's file, then its start, so that names sort by age
+const TAKES: &str = "takes-"; // begins the name of the socket at which a process takes over, then its file's
 const LOOK: Duration = Duration::from_millis(50); // between looks for another process; few accesses meanwhile
 const SHARED_BY: usize = 2; // processes; a version and the next
 
@@ -54,7 +56,25 @@
     /// Whether a younger one serves. Danger: to leave the door to one that was killed meanwhile would leave
     /// nobody there; its lock went with it.
     pub fn succeeded(&self) -> bool {
-        self.others().any(|(file, serves)| file > self.file && serves)
+        self.successors().next().is_some()
+    }
+
+    fn successors(&self) -> impl Iterator<Item = String> {
+        let younger = self.others().filter(|(file, serves)| *file > self.file && *serves);
+        younger.map(|(file, _)| file)
+    }
+
+    /// Where the youngest of those takes over what we have begun.
+    pub fn heir(&self) -> Option<PathBuf> {
+        self.store.path(&format!("{TAKES}{}", self.successors().max()?))
+    }
+
+    /// Where we do so. What one that was killed left behind is cleared.
+    pub fn takes_over_at(&self) -> Option<PathBuf> {
+        let living: Vec<String> = self.others().map(|(file, _)| format!("{TAKES}{file}")).collect();
+        let left = self.store.names(TAKES).into_iter().filter(|name| !living.contains(name));
+        left.for_each(|name| self.store.remove(&name));
+        self.store.path(&format!("{TAKES}{}", self.file))
     }
 
     /// Those that live, and whether they serve.
@@ -109,6 +129,7 @@
 impl Drop for Succession {
     fn drop(&mut self) {
         self.store.remove(&self.file);
+        self.store.remove(&format!("{TAKES}{}", self.file));
     }
 }
 
--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! The proxy as a process on loopback, between clients, nodes and a discovery that do as each test says.
 
+mod handover;
 mod operations;
 mod sockets;
 mod streams;
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -14,10 +14,10 @@
 use std::time::{Duration, Instant};
 
 /// A folder for temporary files, gone at the end.
-struct Folder(PathBuf);
+pub struct Folder(pub PathBuf);
 
 impl Folder {
-    fn new() -> Folder {
+    pub fn new() -> Folder {
         static FOLDERS: AtomicUsize = AtomicUsize::new(0);
         let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
         let path = std::env::temp_dir().join(format!("flintwell-folder-{}-{number}", std::process::id()));
@@ -255,7 +255,7 @@
 }
 
 /// A process of a proxy whose clients' socket the platform holds.
-fn inheriting(socket: &TcpListener, config: &Value, folder: &Path) -> (Proxy, BufReader<ChildStderr>) {
+pub fn inheriting(socket: &TcpListener, config: &Value, folder: &Path) -> (Proxy, BufReader<ChildStderr>) {
     let path = folder.join(format!("{}.json", config["mgmt"].as_str().unwrap_or("none")));
     std::fs::write(&path, config.to_string()).expect("a file");
     let held = socket.try_clone().expect("a clone");
@@ -271,7 +271,7 @@
     (Proxy { child, addr, file: path }, log)
 }
 
-fn served_by(socket: &TcpListener, config: &Value, folder: &Path) -> (Proxy, SocketAddr) {
+pub fn served_by(socket: &TcpListener, config: &Value, folder: &Path) -> (Proxy, SocketAddr) {
     let (config, at) = managed(config.clone());
     let (proxy, mut log) = inheriting(socket, &config, folder);
     thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
