Long answers are read ahead of slow clients where they fit, so that their nodes are free

Ruled out: our descriptors (90 of 1,024), nodes that give slowly, cuts of our own. Of 216 long answers that break off some 150 are the clients of the 34 proxies killed at 13 s.

Change: what is left of an answer is read ahead when all of it fits into three eighths of the memory; what is kept goes to a successor in a file without a name.

--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -191,27 +191,40 @@
         &self,
         mut connection: Pin<&mut C>,
         way: &Way,
+        heir: &Heir,
     ) -> Option<(Carry, Option<Carried>)> {
         self.unwritten.replace(Some(Vec::new()));
         for _ in 0..CUT_TURNS {
-            let through = way.through();
-            match poll_fn(|cx| Poll::Ready(connection.as_mut().poll(cx))).await {
-                Poll::Ready(Err(_)) => return None,
-                Poll::Ready(Ok(())) => {}
-                // All that was through is now written, as nothing holds up writing.
-                Poll::Pending if !through => {
-                    tokio::task::yield_now().await;
-                    continue;
-                }
-                Poll::Pending => {}
+            let polled = poll_fn(|cx| {
+                way.reads_ahead(cx);
+                Poll::Ready(connection.as_mut().poll(cx))
+            });
+            if let Poll::Ready(Err(_)) = polled.await {
+                return None;
+            }
+            // What the connection has was written now, as nothing holds that up.
+            if way.through() {
+                let unwritten = self.unwritten.borrow_mut().as_mut().map(std::mem::take)?;
+                let (rest, left) = way.rest()?;
+                let kept = heir.keeps(way.kept()).inspect_err(|error| say!("hand-over: {error}")).ok()?;
+                let client = self.stream.clone();
+                return Some((
+                    Carry { client, unwritten, kept, rest, chunked: !way.told, open: way.open(), left },
+                    way.carried(),
+                ));
             }
-            let unwritten = self.unwritten.borrow_mut().as_mut().map(std::mem::take)?;
-            let (rest, left) = way.rest();
-            let carry = Carry { client: self.stream.clone(), unwritten, rest, chunked: !way.told, left };
-            return (!way.broken()).then_some((carry, way.carried()));
+            tokio::task::yield_now().await;
         }
         None
     }
+    /// Reads ahead of it, for as long as it is asked.
+    async fn reads_ahead(&self) {
+        poll_fn(|cx| {
+            self.long.borrow().iter().for_each(|way| way.reads_ahead(cx));
+            Poll::Pending
+        })
+        .await
+    }
     /// Ends once it has taken nothing for too long.
     async fn stands_still(&self) {
         while self.full.get().is_none_or(|since| since.elapsed() < STALL) {
@@ -413,6 +426,7 @@
             // First, so that an access that has come is read before its connection counts as idle.
             biased;
             _ = connection.as_mut() => return,
+            () = client.reads_ahead() => {}
             () = client.head_overdue() => return,
             () = client.stands_still() => return,
             () = client.close.notified() => {}
@@ -436,6 +450,7 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => {}
+                () = client.reads_ahead() => {}
                 heir = handed => leave(connection, &client, &heir).await,
             }
         }
@@ -451,13 +466,15 @@
     let way = client.long.borrow().clone();
     match way.filter(|way| (way.told || client.chunks.get()) && way.halt()) {
         Some(way) => {
-            if let Some((carry, carried)) = client.cut(connection.as_mut(), &way).await {
+            if let Some((carry, carried)) = client.cut(connection.as_mut(), &way, heir).await {
                 handover::hand_over(heir, carry, carried).await;
             }
         }
         // It ends here, if its client takes it in time.
         None => tokio::select! {
+            biased;
             _ = connection => {}
+            () = client.reads_ahead() => {}
             () = client.stands_still() => {}
         },
     }
--- a/crates/flintwell/src/config.rs
+++ b/crates/flintwell/src/config.rs
@@ -12,7 +12,8 @@
 const MANAGEMENT: &str = "EDGE_MGMT"; // names the second address
 const MEMORY: f64 = 64.0; // MB; where none is given
 const MEGABYTE: f64 = 1_048_576.0; // bytes
-const BODIES: f64 = 0.25; // of the memory, for bodies; the rest for connections and what is passed on
+const BODIES: f64 = 0.25; // of the memory, for bodies of accesses
+const ANSWERS: f64 = 0.375; // of the memory, for answers read ahead; the rest for connections and ourselves
 const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
 
 #[derive(Deserialize)]
@@ -52,6 +53,8 @@
     pub sockets: usize,
     /// Bytes of bodies that may be kept.
     pub bodies: usize,
+    /// Bytes of long answers that may be read ahead of their clients.
+    pub answers: usize,
     pub known: Listing,
     pub settings: Settings,
     pub watch_with: Option<Settings>,
@@ -85,6 +88,7 @@
         seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?,
         sockets,
         bodies: (memory * MEGABYTE * BODIES) as usize,
+        answers: (memory * MEGABYTE * ANSWERS) as usize,
         known: file.known,
         network: decode_network(&file.settings)?,
         settings,
--- a/crates/flintwell/src/handoff.rs
+++ b/crates/flintwell/src/handoff.rs
@@ -1,6 +1,6 @@
 //! One hand-off: an access sent to one node over one connection, and how it ended.
 
-use crate::body::{LONGEST, Outgoing};
+use crate::body::{Budget, LONGEST, Outgoing};
 use crate::clock::span;
 use crate::counts::Counts;
 use crate::decode::Access;
@@ -39,11 +39,13 @@
 pub struct HandOffs {
     pool: Rc<Pool>,
     counts: Rc<Counts>,
+    /// For what is read ahead of long answers.
+    room: Rc<Budget>,
 }
 
 impl HandOffs {
-    pub fn new(pool: Rc<Pool>, counts: Rc<Counts>) -> Self {
-        HandOffs { pool, counts }
+    pub fn new(pool: Rc<Pool>, counts: Rc<Counts>, room: Rc<Budget>) -> Self {
+        HandOffs { pool, counts, room }
     }
 }
 
@@ -57,10 +59,10 @@
     }
 
     fn call(&mut self, hand_off: HandOff) -> Self::Future {
-        let (pool, counts) = (self.pool.clone(), self.counts.clone());
+        let HandOffs { pool, counts, room } = self.clone();
         Box::pin(async move {
             let progress = Progress::counted(&counts.hand_offs);
-            let mut exchange = pin!(send(&pool, &hand_off, &progress));
+            let mut exchange = pin!(send(&pool, &hand_off, &progress, &room));
             if let Some(end) = hand_off.access.body.passing() {
                 // Its time counts from its last byte.
                 tokio::select! {
@@ -87,7 +89,12 @@
     }
 }
 
-async fn send(pool: &Rc<Pool>, hand_off: &HandOff, progress: &Progress) -> Result<Answered, Broken> {
+async fn send(
+    pool: &Rc<Pool>,
+    hand_off: &HandOff,
+    progress: &Progress,
+    room: &Rc<Budget>,
+) -> Result<Answered, Broken> {
     let mut link = open(pool, &hand_off.node).await?;
     let (idle, first) = (link.idle_since.elapsed(), link.unused());
     let body = hand_off.access.body.hand_out().ok_or(Broken::unwritten(Cause::Spent))?;
@@ -102,7 +109,7 @@
         }
         Came::Long(begun, rest, left) => {
             let (node, pool) = (hand_off.node.clone(), pool.clone());
-            Content::Long(Box::new(Relay::new(begun, rest, left, node, pool, link)))
+            Content::Long(Box::new(Relay::new(begun, rest, left, node, pool, link, room)))
         }
     };
     Ok(Answered { ending, first, body })
--- a/crates/flintwell/src/handover.rs
+++ b/crates/flintwell/src/handover.rs
@@ -7,12 +7,14 @@
 use crate::framing::Coding;
 use crate::relay::Carried;
 use crate::say;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
-use std::io::{self, IoSlice};
+use std::fs::File;
+use std::io::{self, IoSlice, Seek, Write};
 use std::net::TcpStream;
 use std::os::fd::{AsFd, OwnedFd};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -38,8 +40,11 @@
     /// How the rest comes from its node, if anything still comes.
     rest: Option<Coding>,
     chunked: bool,
+    open: bool,
     left: u64,
     unwritten: usize,
+    /// Bytes that have come behind those, in a file.
+    kept: u64,
 }
 
 /// The successor, as the one who hands over sees it.
@@ -47,11 +52,14 @@
     socket: Mutex<Option<UnixSeqpacket>>,
     /// Its last word.
     heard_at: Cell<Instant>,
+    folder: PathBuf,
 }
 
 /// Finds the successor that takes over at this path; one line in the log where there is none.
 pub async fn heir(path: Option<&Path>) -> Option<Heir> {
+    let folder = path.and_then(Path::parent).map(Path::to_owned);
     let meets = async {
+        let folder = folder.ok_or(io::ErrorKind::NotFound)?;
         let socket = UnixSeqpacket::connect(path.ok_or(io::ErrorKind::NotFound)?).await?;
         socket.send(HELLO).await?;
         let mut hello = [0; HELLO.len() + 1];
@@ -59,10 +67,10 @@
         if &hello[..said] != HELLO {
             return Err(io::Error::other("it is of another version"));
         }
-        Ok(socket)
+        Ok(Heir { socket: Mutex::new(Some(socket)), heard_at: Cell::new(Instant::now()), folder })
     };
     match timeout(ANSWERS, meets).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-        Ok(socket) => Some(Heir { socket: Mutex::new(Some(socket)), heard_at: Cell::new(Instant::now()) }),
+        Ok(heir) => Some(heir),
         Err(error) => {
             say!("the successor takes over no long answers: {error}");
             None
@@ -71,6 +79,21 @@
 }
 
 impl Heir {
+    /// Puts pieces of an answer into a file without a name, which goes with it: they are too long for a message.
+    pub fn keeps(&self, pieces: impl Iterator<Item = Bytes>) -> io::Result<Option<(File, u64)>> {
+        let (mut file, mut length) = (None, 0);
+        for piece in pieces {
+            let file = match &mut file {
+                Some(file) => file,
+                None => file.insert(tempfile::tempfile_in(&self.folder)?),
+            };
+            file.write_all(&piece)?;
+            length += piece.len() as u64;
+        }
+        file.as_mut().map_or(Ok(()), File::rewind)?;
+        Ok(file.map(|file| (file, length)))
+    }
+
     /// Whether the successor has it now. Danger: one that does not say so may have it all the same, and a byte
     /// would go out twice; so it is waited for until it says something or is gone.
     async fn takes(&self, carry: &Carry, case: Option<usize>) -> bool {
@@ -99,17 +122,20 @@
 async fn offer(socket: &UnixSeqpacket, carry: &Carry, case: Option<usize>) -> io::Result<bool> {
     let rest = carry.rest.as_ref().map(|rest| rest.1);
     let unwritten = carry.unwritten.len();
-    let note = Note { case, rest, chunked: carry.chunked, left: carry.left, unwritten };
+    let kept = carry.kept.as_ref().map_or(0, |kept| kept.1);
+    let Carry { chunked, open, left, .. } = *carry;
+    let note = Note { case, rest, chunked, open, left, unwritten, kept };
     let mut head = serde_json::to_vec(&note)?;
     head.push(b'\n');
     if head.len() + unwritten > MOST {
         return Ok(false);
     }
-    let sockets = [Some(&carry.client), carry.rest.as_ref().map(|rest| &rest.0)];
-    let sockets: Vec<_> = sockets.into_iter().flatten().map(|socket| socket.as_fd()).collect();
+    let mut descriptors = vec![carry.client.as_fd()];
+    descriptors.extend(carry.rest.iter().map(|rest| rest.0.as_fd()));
+    descriptors.extend(carry.kept.iter().map(|kept| kept.0.as_fd()));
     let mut ancillary = [0; ANCILLARY];
     let mut ancillary = AncillaryMessageWriter::new(&mut ancillary);
-    ancillary.add_fds(sockets.iter()).map_err(|_| io::Error::other("no room for descriptors"))?;
+    ancillary.add_fds(descriptors.iter()).map_err(|_| io::Error::other("no room for descriptors"))?;
     let parts = [IoSlice::new(&head), IoSlice::new(&carry.unwritten)];
     socket.send_vectored_with_ancillary(&parts, &mut ancillary).await?;
     let mut word = [0; 16];
@@ -197,13 +223,20 @@
     }
 
     /// What a message holds, and room for it.
-    fn read(&self, message: &[u8], sockets: Vec<OwnedFd>) -> Result<Taken, &'static str> {
+    fn read(&self, message: &[u8], mut sockets: Vec<OwnedFd>) -> Result<Taken, &'static str> {
         let end = message.iter().position(|byte| *byte == b'\n').ok_or("it has no end")?;
         let note: Note = serde_json::from_slice(&message[..end]).map_err(|_| "it is not understood")?;
         let unwritten = message[end + 1..].to_vec();
-        if unwritten.len() != note.unwritten || sockets.len() != 1 + usize::from(note.rest.is_some()) {
+        let descriptors = 1 + usize::from(note.rest.is_some()) + usize::from(note.kept > 0);
+        if unwritten.len() != note.unwritten || sockets.len() != descriptors {
             return Err("it is not whole");
         }
+        let file = sockets.pop_if(|_| note.kept > 0).map(File::from);
+        let as_told =
+            |file: &File| file.metadata().is_ok_and(|data| data.is_file() && data.len() == note.kept);
+        if !file.iter().all(as_told) {
+            return Err("it holds another file");
+        }
         let mut sockets = sockets.into_iter().map(|socket| {
             let stream = TcpStream::from(socket);
             // Danger: what is no connection, and would be read and written for ever, or never.
@@ -219,7 +252,9 @@
         let permits = rooms.map(|room| room.clone().try_acquire_owned().map_err(|_| "there is no room"));
         let permits = permits.collect::<Result<Vec<_>, _>>()?;
         let (rest, left) = (node.zip(note.rest), note.left);
-        let carry = Carry { client, unwritten, rest, chunked: note.chunked, left };
+        let kept = file.map(|file| (file, note.kept));
+        let (chunked, open) = (note.chunked, note.open);
+        let carry = Carry { client, unwritten, kept, rest, chunked, open, left };
         Ok(Taken { carry, case: note.case, permits })
     }
 
--- a/crates/flintwell/src/serve.rs
+++ b/crates/flintwell/src/serve.rs
@@ -120,7 +120,7 @@
             Err(error) => say!("long answers can't be taken over: {error}"),
         }
     }
-    let hand_offs = HandOffs::new(pool, counts.clone());
+    let hand_offs = HandOffs::new(pool, counts.clone(), Budget::new(config.answers));
     let budget = Budget::new(config.bodies);
     let front = Front { desk, hand_offs, counts, network, budget, shutdown };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
