Idle connections to an origin whose table was found full are closed

Counted from the proxies' logs at 27 s: 78 open of which 26 carry long answers; the rest stood idle, one kept by most of 48 proxies, each harmless, while those with none open there were refused some 150 times a second (policy.rs, `outcome`: only the price of a connection had idle ones cut, and it is 0 there). Ruled out: proxies that hold many (10 at most).

Change: one that was refused on a new connection closes its idle ones there after each exchange, for as long as an estimate holds. It guards against any crowd at an origin's table; a handshake a fetch is what it costs, and only while refusals last. Test: nobody_keeps_idle_connections_to_an_origin_whose_table_was_full_lately.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -159,10 +159,11 @@
         let Some(node) = self.nodes.find(node) else { return };
         let goal = self.accesses.get(id).map(|a| self.settings.use_cases[a.use_case].goal_time as f64);
         self.observe(now, node, &outcome, goal);
-        // Danger: hundreds that keep a connection to each node fill its table. What hardly pays is cut.
+        // Danger: what hundreds keep open fills a node's table, or an origin's. What hardly pays is cut.
         let worth = self.settings.connection_price * f64::from(self.settings.fleet_size);
         let asked = self.nodes[node].asked.now(now, HEAT_FADE) - 1.0;
-        if worth > 1.0 && !self.of_origin(node) && asked < worth * self.mean_heat(now) {
+        let full = self.of_origin(node) && now < self.origin.full_until;
+        if full || worth > 1.0 && !self.of_origin(node) && asked < worth * self.mean_heat(now) {
             self.host.close_idle(&self.nodes[node].entry.node);
         }
         // Danger: a list that tells no speeds has slow kinds drown in their part while fast ones idle. Steps
@@ -327,8 +328,7 @@
         let (taken, sent) = (lately(&self.caches.taken), lately(&self.caches.sent));
         // Danger: by what warm ones could not take, as many cold ones of a large fleet stood idle. There they
         // get first choices only, and nothing that others refused: in step with arrivals, not refusals.
-        let room = if self.thin(now) { COLD_ROOM } else { 1.0 };
-        let part = warmth * (room * taken / sent.max(1.0)).min(1.0);
+        let part = warmth * (if self.thin(now) { COLD_ROOM } else { 1.0 } * taken / sent.max(1.0)).min(1.0);
         if unit(mix(node.id_hash ^ lot)) > part || fresh && !turn {
             return false;
         }
@@ -357,8 +357,7 @@
         let deep = if open { RANKS } else { 1 + usize::from(room) };
         // Danger: a cold node is pushed over by a hot key, or by what others refused. It gets a part of the
         // keys by their slots; of a key that all may ask for, a part of the reads by a lot of their own.
-        let asked = thin && own >= ASKED_BEFORE;
-        let lot = if asked { access.turn } else { access.slot };
+        let lot = if thin && own >= ASKED_BEFORE { access.turn } else { access.slot };
         let takes = |&(rank, n): &(usize, usize)| self.takes(now, n, (rank < reach).then_some(lot));
         let mut ranks: Vec<usize> = self.slots.ranks::<RANKS_HOT>(access.slot, PROBES).collect();
         // Our home is the key's first cache in our zone, where crossings cost more than a copy in each zone.
@@ -510,6 +509,7 @@
     /// One that refuses many is left alone. The pause differs, so that those refused together come apart.
     fn fetch_again(&mut self, now: Micros, id: &AccessId, first: bool) {
         let out = self.origin.node.map_or(0, |o| self.nodes[o].in_flight);
+        self.origin.full_until = if first { now + ESTIMATE_AGE as Micros } else { self.origin.full_until };
         if first && out > 0 {
             // Danger: a table full of a hundred proxies' connections takes no more of them, however idle the
             // origin is. What we hold there is our limit, until answers let us try for one more.
@@ -668,8 +668,8 @@
         let node = &mut self.nodes[n];
         node.in_flight = node.in_flight.saturating_sub(1);
         let silent = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::ConnectFailed);
-        let spoilt = outcome.ending == Ending::Spoilt && !at_origin;
-        let fault = silent || spoilt || outcome.ending == Ending::Error;
+        let fault =
+            silent || matches!((outcome.ending, at_origin), (Ending::Error, _) | (Ending::Spoilt, false));
         if fault || matches!(outcome.ending, Ending::Honoured | Ending::Miss) {
             node.faults.learn(now, f64::from(u8::from(fault)), SMOOTHING, ESTIMATE_AGE);
         }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -345,6 +345,8 @@
     /// Share of the fetches and writes that it refused.
     pub refused: Mean,
     pub after: Micros,
+    /// Its table of connections was found full; until then what is idle there is closed.
+    pub full_until: Micros,
     pub queue: VecDeque<AccessId>,
 }
 
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -621,6 +621,27 @@
     }
 }
 
+/// Idle connections of a fleet and those that long answers held filled the origin's table, and those with none open
+/// there were refused five times in six.
+#[test]
+fn nobody_keeps_idle_connections_to_an_origin_whose_table_was_full_lately() {
+    let mut play = Play::new(settings(), 6);
+    let closes = |play: &mut Play, n: usize, refused: bool| {
+        let id = missed(play, n);
+        if refused {
+            play.end_on(&id, Ending::Full, true);
+            play.pass(200 * MS);
+        }
+        let before = play.world.0.borrow().closes;
+        play.end(&id, Ending::Honoured);
+        play.world.0.borrow().closes - before
+    };
+    assert_eq!(closes(&mut play, 0, false), 0, "it is kept while nobody is refused");
+    assert_eq!((closes(&mut play, 1, true), closes(&mut play, 2, false)), (1, 1));
+    play.pass(6_000 * MS);
+    assert_eq!(closes(&mut play, 3, false), 0, "and again once that is over");
+}
+
 /// The origin's connection was closed after every fetch, and all were at the nodes asked most.
 #[test]
 fn hundreds_keep_their_connections_to_the_origin_and_to_the_node_asked_most() {
