Use cases bound to kinds or zones are sent only there; starts that may be told wrong count as late

Change: each distinct place has its own slot table, built when the list changes; the place is checked with the other rules at every hand-off, so that a follower goes no further than it may; the origin is open to all. A listed start counts as late as `start_drift` lets it be, but not after it was first told. Both decoded by place or by name, checked. It can't come again: may_hand_off is the one way out, and the model judges each hand-off from the settings alone; both cases fail without the change.

The figures' test drew its 503s by chance, one in eight runs without; they go by the access now.

--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -49,6 +49,9 @@
     pub goal_stretch: f64,
     /// Share of the earnings still paid after the goal time.
     pub late_share: f64,
+    /// The kinds and the zones of cache nodes that it may be sent to; all where not given.
+    pub kinds: Option<Vec<u32>>,
+    pub zones: Option<Vec<u32>>,
 }
 
 /// What the list's sizes stand for.
@@ -86,6 +89,8 @@
     pub sizes: Sizes,
     pub start_capacity: f64,
     pub ramp_time: Micros,
+    /// The most by which a listed start may be off, either way.
+    pub start_drift: Micros,
     /// What an open connection a cache node costs, in new connections an access; 0 where they cost nothing.
     pub connection_price: f64,
     /// How long a cold node can be pushed before it falls.
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -87,7 +87,9 @@
     zones: BTreeMap<u32, Zone>,
     kinds: BTreeMap<u32, Kind>,
     speeds: Average,
-    slots: Slots,
+    places: Places,
+    /// Each place's own, so that homes in it are alike everywhere.
+    slots: Vec<Slots>,
     caches: Caches,
     origin: Origin,
     heat: Heat,
@@ -105,6 +107,7 @@
         let spread = rng.random_range(0..=LIST_SPREAD * i64::from(settings.fleet_size.min(FLEET_MOST)));
         let shortest = settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64;
         let times = Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
+        let places = Places::new(&settings.use_cases);
         Policy {
             host,
             rng,
@@ -117,7 +120,8 @@
             zones: BTreeMap::new(),
             kinds: BTreeMap::new(),
             speeds: Average::default(),
-            slots: Slots::default(),
+            places,
+            slots: Vec::new(),
             caches: Caches::new(now, times, ADMIT_LEAST),
             origin: Origin::new(now, times, FETCHES_FIRST, shortest * FETCH_BEARABLE),
             heat: Heat::new(HEATS),
@@ -250,8 +254,17 @@
             _ => 1.0,
         };
         let node = self.nodes.of(&entry.node, now, FORGOTTEN);
+        // Danger: one told as started long ago may be cold. It counts as started as late as it may have been,
+        // but not after it was first told.
+        let told_start = std::mem::replace(&mut node.told_start, entry.started_at);
+        if entry.started_at > 0 && self.settings.start_drift > 0 {
+            let latest = (entry.started_at + self.settings.start_drift).min(now);
+            entry.started_at = if told_start == entry.started_at { node.entry.started_at } else { latest };
+        }
+        node.places = self.places.holding(&entry);
         let old = &node.entry;
-        let same = (old.standing, old.size, old.kind) == (entry.standing, entry.size, entry.kind);
+        let same = (old.standing, old.size, old.kind, old.zone)
+            == (entry.standing, entry.size, entry.kind, entry.zone);
         if entry.started_at != node.entry.started_at {
             // Danger: a node that came back looks like the old one by its id, but is empty and cold.
             (node.strikes, node.skip_until, node.sent) = (0, 0, Pace::default());
@@ -282,7 +295,11 @@
         let listed: f64 = ready.iter().map(|&n| self.nodes[n].entry.size).sum();
         let unit = (listed / ready.len().max(1) as f64).max(1e-9).log2().round().exp2();
         let claims = |n: usize| (CLAIMS * (self.nodes[n].size / unit).min(8.0)).ceil() as u64;
-        self.slots = Slots::new(SLOTS, ready.iter().map(|&n| (n, self.nodes[n].id_hash, claims(n))));
+        let table = |place| {
+            let open = ready.iter().filter(|&&n| self.nodes[n].open_to(place));
+            Slots::new(SLOTS, open.map(|&n| (n, self.nodes[n].id_hash, claims(n))))
+        };
+        self.slots = (0..self.places.count()).map(table).collect();
     }
 
     /// Whether our part of each cache's traffic is small: then refusals come by chance, our own say little.
@@ -318,7 +335,7 @@
     fn cold_takes(&self, now: Micros, n: usize, lot: u64, warmth: f64) -> bool {
         let node = &self.nodes[n];
         let turns = (self.settings.ramp_time as f64 * TURNS_SHARE) as Micros;
-        let fresh = now - node.entry.started_at < turns;
+        let fresh = node.age(now) < turns;
         // Turns by number: each has its own where proxies are few, else as many as the cold share lets in do.
         let most = if self.thin(now) { TURN_GROUPS } else { self.settings.fleet_size };
         let groups = ((turns / TURN) as u32).min(most).max(1);
@@ -359,7 +376,8 @@
         // keys by their slots; of a key that all may ask for, a part of the reads by a lot of their own.
         let lot = if thin && own >= ASKED_BEFORE { access.turn } else { access.slot };
         let takes = |&(rank, n): &(usize, usize)| self.takes(now, n, (rank < reach).then_some(lot));
-        let mut ranks: Vec<usize> = self.slots.ranks::<RANKS_HOT>(access.slot, PROBES).collect();
+        let slots = self.slots.get(self.places.of(access.use_case)).ok_or(false)?;
+        let mut ranks: Vec<usize> = slots.ranks::<RANKS_HOT>(access.slot, PROBES).collect();
         // Our home is the key's first cache in our zone, where crossings cost more than a copy in each zone.
         let near = |&n: &usize| self.nodes[n].entry.zone == self.settings.zone;
         if self.settings.cross_price > COPY_PRICE * f64::from(self.settings.zones) {
@@ -544,7 +562,9 @@
         let node = &self.nodes[n];
         let over = now >= access.outer_limit || access.hand_offs.len() >= self.settings.max_hand_offs;
         let out = access.hand_offs.iter().any(|h| h.ending.is_none());
-        if over || out || node.entry.standing != Standing::Ready {
+        // Danger: a follower is handed to the cache that its leader missed at, which may be closed to it.
+        let open = self.of_origin(n) || node.open_to(self.places.of(access.use_case));
+        if over || out || !open || node.entry.standing != Standing::Ready {
             return false;
         }
         let Some(first) = access.may_have_run() else { return true };
@@ -623,7 +643,8 @@
         }
         for follower in followers {
             self.accesses.unhold(&follower);
-            match honoured && self.is_cache(node) {
+            let place = self.accesses.get(&follower).map_or(0, |a| self.places.of(a.use_case));
+            match honoured && self.is_cache(node) && self.nodes[node].open_to(place) {
                 true => self.hand_off(now, &follower, node),
                 false => self.alone(now, &follower),
             }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,10 +1,12 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
-use crate::interface::{AccessId, Arrival, Ending, Entry, Group, Key, Micros, NodeId, Standing};
+use crate::interface::{AccessId, Arrival, Ending, Entry, Group, Key, Micros, NodeId, Standing, UseCase};
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
 use std::ops::{Deref, DerefMut};
 
+const PLACES_MOST: usize = 63; // places; the last bit, which no node has, stands for any beyond
+
 /// One hand-off.
 pub(crate) struct HandOff {
     pub node: usize,
@@ -148,6 +150,10 @@
     pub sent: Pace,
     pub asked: Pace,
     pub id_hash: u64,
+    /// Its start as it was told; the entry has the latest that it may have been.
+    pub told_start: Micros,
+    /// The places that it belongs to, a bit each.
+    pub places: u64,
     /// What it takes, by the list and its kind's speed.
     pub size: f64,
 }
@@ -170,9 +176,16 @@
     }
     /// Share of its capacity that it surely has.
     pub fn warmth(&self, now: Micros, start: f64, ramp: Micros) -> f64 {
-        let age = (now - self.entry.started_at).max(0) as f64 / ramp.max(1) as f64;
+        let age = self.age(now) as f64 / ramp.max(1) as f64;
         if self.entry.started_at <= 0 { 1.0 } else { (start + (1.0 - start) * age).min(1.0) }
     }
+    /// Since its start, at least.
+    pub fn age(&self, now: Micros) -> Micros {
+        (now - self.entry.started_at).max(0)
+    }
+    pub fn open_to(&self, place: usize) -> bool {
+        self.places >> place & 1 == 1
+    }
     /// Listed, and not asked but perhaps for a try.
     pub fn avoided(&self, now: Micros) -> bool {
         match self.entry.standing {
@@ -190,6 +203,51 @@
     }
 }
 
+/// The cache nodes that some use cases may be sent to.
+#[derive(PartialEq)]
+struct Place {
+    kinds: Option<Vec<u32>>,
+    zones: Option<Vec<u32>>,
+}
+
+/// The places of all use cases; those bound alike share one.
+#[derive(Default)]
+pub(crate) struct Places {
+    all: Vec<Place>,
+    /// The place of each use case.
+    of_case: Vec<usize>,
+}
+
+impl Places {
+    pub fn new(cases: &[UseCase]) -> Self {
+        let mut places = Places::default();
+        for case in cases {
+            let bound = Place { kinds: case.kinds.clone(), zones: case.zones.clone() };
+            let known = places.all.iter().position(|place| *place == bound);
+            // Danger: with more places than bits some would be open to all; a node's bits hold as many as that.
+            let place = known.unwrap_or(places.all.len().min(PLACES_MOST));
+            if place == places.all.len() && place < PLACES_MOST {
+                places.all.push(bound);
+            }
+            places.of_case.push(place);
+        }
+        places
+    }
+    pub fn count(&self) -> usize {
+        self.all.len()
+    }
+    pub fn of(&self, use_case: usize) -> usize {
+        self.of_case[use_case]
+    }
+    /// The bits of those that a node of this entry belongs to.
+    pub fn holding(&self, entry: &Entry) -> u64 {
+        let within =
+            |allowed: &Option<Vec<u32>>, one| allowed.as_ref().is_none_or(|allowed| allowed.contains(&one));
+        let holds = |place: &Place| within(&place.kinds, entry.kind) && within(&place.zones, entry.zone);
+        self.all.iter().enumerate().map(|(n, place)| u64::from(holds(place)) << n).sum()
+    }
+}
+
 /// What is known of a kind of node.
 #[derive(Default)]
 pub(crate) struct Kind {
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -621,6 +621,65 @@
     }
 }
 
+/// Charts were sent to any kind of node 30 ms into each day of a deployment that serves them on one kind only.
+#[test]
+fn a_bound_use_case_is_sent_only_where_it_may_be_also_when_all_of_those_are_out() {
+    let mut play = Play::new(settings(), 6);
+    let to = |play: &mut Play, use_case: usize, key: &str| {
+        let id = play.arrive(use_case, key, false);
+        (play.node_of(&id), id)
+    };
+    let open = [1, 3, 5].map(|n| Some(entry(n, Standing::Ready, 0).node));
+    for n in 0..40 {
+        let (node, id) = to(&mut play, 5, &format!("k{n}"));
+        assert!(open.contains(&node), "{node:?}");
+        // The rest goes by the model.
+        [Ending::Full, Ending::Error, Ending::Honoured].iter().for_each(|&ending| play.end(&id, ending));
+        play.pass(SECOND);
+    }
+    // A leader that may go anywhere misses at a node that is closed to its follower.
+    let key = (0..).map(|n| format!("j{n}")).find(|key| {
+        let (node, id) = to(&mut play, 0, key);
+        play.end(&id, Ending::Honoured);
+        node.is_some_and(|node| (2..=6).step_by(2).any(|n| entry(n, Standing::Ready, 0).node == node))
+    });
+    let key = key.expect("one at home in the first zone");
+    let (leader, follower) = (to(&mut play, 0, &key).1, to(&mut play, 5, &key).1);
+    play.end(&leader, Ending::Miss);
+    play.end(&follower, Ending::Miss);
+    play.end(&leader, Ending::Honoured);
+    assert_eq!(play.node_of(&follower), Some(origin()), "not the leader's cache");
+    for n in [1, 3, 5] {
+        play.list(ListKind::Changes, vec![entry(n, Standing::Draining, 0)]);
+    }
+    assert_eq!(to(&mut play, 5, "late").0, Some(origin()));
+}
+
+/// Clocks differ: a node listed as started ten seconds too early got all its keys as if it were warm, and by its
+/// latest start alone one that was told at once would stand idle for ten seconds.
+#[test]
+fn a_start_that_may_be_told_wrong_counts_as_late_as_it_may_have_been() {
+    for (drift, told_before, after, warm) in
+        [(0, 9, 0, true), (10, 9, 0, false), (10, 9, 4, false), (10, 9, 9, true), (10, 0, 9, true)]
+    {
+        let mut play = Play::busy(Settings { start_drift: drift * SECOND, ..settings() }, 4);
+        let started = play.now() - told_before * SECOND;
+        play.list(ListKind::Changes, vec![entry(3, Standing::Ready, started)]);
+        play.pass(after * SECOND);
+        // Told again, it has not started again.
+        play.list(ListKind::Changes, vec![entry(3, Standing::Ready, started)]);
+        let all = (0..80).filter(|n| {
+            let id = play.arrive(0, &format!("k{n}"), false);
+            let node = play.node_of(&id);
+            play.pass(20 * MS);
+            play.end(&id, Ending::Honoured);
+            node == Some(entry(3, Standing::Ready, 0).node)
+        });
+        let all = all.count();
+        assert!(if warm { all > 12 } else { all < 12 }, "{all} with {drift}, {told_before}, {after}");
+    }
+}
+
 /// Idle connections of a fleet and those that long answers held filled the origin's table, and those with none open
 /// there were refused five times in six.
 #[test]
--- a/crates/flintwell-core/tests/module/rules.rs
+++ b/crates/flintwell-core/tests/module/rules.rs
@@ -23,7 +23,11 @@
 fn step(play: &mut Play, ids: &mut Vec<AccessId>, (what, a, b, c): (u8, usize, usize, u32)) {
     let now = play.now();
     match what {
-        0..=3 => ids.push(play.arrive(a % 5, &format!("k{}", b % 4), c.is_multiple_of(4) || a % 5 > 0)),
+        0..=3 => ids.push(play.arrive(
+            a % 7,
+            &format!("k{}", b % 4),
+            c.is_multiple_of(4) || (1..5).contains(&(a % 7)),
+        )),
         4..=8 if !ids.is_empty() => {
             let recent = ids.len() - 1 - a % ids.len().min(12);
             play.end(&ids[recent].clone(), ENDINGS[if what < 7 { b % 2 } else { b % 11 }]);
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -64,6 +64,10 @@
         assert!(access.answer.is_none(), "a hand-off after the final answer");
         assert!(now < access.outer_limit && access.sent.len() < most && allow_for > 0);
         assert!(access.sent.iter().all(|s| s.ending.is_some()), "two hand-offs at once");
+        let case = &r.use_cases[access.use_case];
+        let bound = |to: &Option<Vec<u32>>, one| to.as_ref().is_some_and(|to| !to.contains(&one));
+        let closed = bound(&case.kinds, to.kind) || bound(&case.zones, to.zone);
+        assert!(to.kind == ORIGIN_KIND || !closed, "{id} sent where its use case may not be");
         if let Some(first) = Records::may_have_run(access) {
             let (case, before) = (&r.use_cases[access.use_case], &r.listed[&first.node]);
             let group = match case.group {
@@ -109,7 +113,7 @@
 
 pub fn use_case(effect: Effect, group: Group) -> UseCase {
     let (goal_time, memory) = (600 * MS, 300 * MS);
-    UseCase { effect, group, memory, goal_time, goal_stretch: 0.0, late_share: 0.0 }
+    UseCase { effect, group, memory, goal_time, goal_stretch: 0.0, late_share: 0.0, kinds: None, zones: None }
 }
 
 pub fn settings() -> Settings {
@@ -120,6 +124,13 @@
             use_case(Effect::Referenced, Group::Zone),
             use_case(Effect::Referenced, Group::Cell),
             use_case(Effect::SingleUse, Group::All),
+            // Bound: to the second zone, and to a kind there.
+            UseCase { zones: Some(vec![1]), ..use_case(Effect::Replayable, Group::All) },
+            UseCase {
+                kinds: Some(vec![2]),
+                zones: Some(vec![1]),
+                ..use_case(Effect::Referenced, Group::Zone)
+            },
         ],
         quotas: Vec::new(),
         aside: true,
@@ -136,13 +147,15 @@
         sizes: Sizes::None,
         start_capacity: 0.25,
         ramp_time: 8 * SECOND,
+        start_drift: 0,
         connection_price: 0.0,
         fall: 2 * SECOND,
     }
 }
 
 pub fn entry(n: u32, standing: Standing, started_at: Micros) -> Entry {
-    let kind = if n == 0 { ORIGIN_KIND } else { 0 };
+    // Two kinds of caches.
+    let kind = [0, ORIGIN_KIND, 2][if n == 0 { 1 } else { n as usize / 2 % 2 * 2 }];
     Entry {
         node: format!("10.0.0.{n}:1").into(),
         zone: n % 2,
--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -25,7 +25,19 @@
     value.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
-fn use_case(value: &Value) -> Result<UseCase, String> {
+/// Places in a list of names, told by place or by name; none where nothing is told.
+fn places(value: &Value, path: &str, names: &[Value]) -> Result<Option<Vec<u32>>, String> {
+    let Some(told) = value.pointer(path).filter(|told| !told.is_null()) else { return Ok(None) };
+    let place = |one: &Value| {
+        let named = names.iter().position(|name| name == one);
+        named.or(one.as_u64().and_then(|n| usize::try_from(n).ok()).filter(|&n| n < names.len()))
+    };
+    let wrong = || format!("settings: use_cases.{} is {told}; a list of known places is needed", &path[1..]);
+    let all = told.as_array().ok_or_else(wrong)?.iter().map(|one| place(one).map(|n| n as u32));
+    all.collect::<Option<_>>().map(Some).ok_or_else(wrong)
+}
+
+fn use_case(value: &Value, conf: &Value) -> Result<UseCase, String> {
     let span = |name: &str| number(value, name).map(micros);
     let need = |name: &str| span(name).ok_or_else(|| format!("settings: use_cases needs {}", &name[1..]));
     Ok(UseCase {
@@ -44,6 +56,8 @@
         goal_time: need("/goal_time")?,
         goal_stretch: number(value, "/aim_stretch").unwrap_or(0.0),
         late_share: number(value, "/overdue_earnings").unwrap_or(0.0),
+        kinds: places(value, BOUND[0].0, list(conf, BOUND[0].1))?,
+        zones: places(value, BOUND[1].0, list(conf, BOUND[1].1))?,
     })
 }
 
@@ -62,7 +76,7 @@
 const COUNT: Needed = Needed::Number(0.0, 1e6); // far above any fleet, and any price in points
 
 /// Every setting that is read, beside names and what use cases and tenants hold.
-const CHECKED: [(&str, Needed); 21] = [
+const CHECKED: [(&str, Needed); 22] = [
     ("/index", COUNT),
     ("/locality", COUNT),
     ("/fleet_size", Needed::Number(1.0, 1e6)),
@@ -81,6 +95,7 @@
     ("/guarantees/start_capacity", Needed::Number(0.0, 1.0)),
     ("/guarantees/ramp_time", SPAN),
     ("/guarantees/fall", SPAN),
+    ("/guarantees/start_drift", SPAN),
     ("/penalties/connection", COUNT),
     ("/penalties/handshake", COUNT),
     ("/penalties/cross_zone", COUNT),
@@ -92,6 +107,8 @@
     ("/aim_stretch", COUNT),
     ("/overdue_earnings", Needed::Number(0.0, 1.0)),
 ];
+/// What a use case is bound to, and where its names stand.
+const BOUND: [(&str, &str); 2] = [("/bound_to", "/flavors"), ("/zones_allowed", "/zones")];
 const CHECKED_TENANT: (&str, Needed) = ("/quota_rps", Needed::Number(0.0, 1e9)); // accesses a second
 
 fn check_one(conf: &Value, place: &str, (path, needed): (&str, Needed)) -> Result<(), String> {
@@ -118,6 +135,9 @@
     for (number, case) in list(conf, "/use_cases").iter().enumerate() {
         let place = format!("use_cases.{number}.");
         CHECKED_CASE.into_iter().try_for_each(|one| check_one(case, &place, one))?;
+        for (bound, names) in BOUND {
+            places(case, bound, list(conf, names))?;
+        }
     }
     for (number, tenant) in list(conf, "/realms").iter().enumerate() {
         check_one(tenant, &format!("realms.{number}."), CHECKED_TENANT)?;
@@ -149,7 +169,10 @@
 pub fn decode(conf: &Value) -> Result<Settings, String> {
     let span = |path: &str| number(conf, path).map_or(0, micros);
     Ok(Settings {
-        use_cases: list(conf, "/use_cases").iter().map(use_case).collect::<Result<_, _>>()?,
+        use_cases: list(conf, "/use_cases")
+            .iter()
+            .map(|case| use_case(case, conf))
+            .collect::<Result<_, _>>()?,
         quotas: list(conf, "/realms").iter().map(|r| number(r, "/quota_rps").unwrap_or(f64::MAX)).collect(),
         aside: text(conf, "/specifics/mode") == Some("aside"),
         origin_kind: number(conf, "/specifics/origin_kind").filter(|&k| k >= 0.0).map(|k| k as u32),
@@ -169,6 +192,7 @@
         },
         start_capacity: number(conf, "/guarantees/start_capacity").unwrap_or(1.0),
         ramp_time: span("/guarantees/ramp_time"),
+        start_drift: span("/guarantees/start_drift"),
         connection_price: match number(conf, "/penalties/connection").unwrap_or(0.0) {
             // Priced by the hundred.
             open if open > 0.0 => {
@@ -229,6 +253,20 @@
     use super::*;
     use serde_json::json;
 
+    #[test]
+    fn a_use_case_is_bound_by_names_or_by_places() {
+        let conf = json!({"zones": ["a", "b"], "flavors": ["m1", "m2", "origin"], "use_cases": [
+            {"goal_time": 1, "bound_to": ["m2"], "zones_allowed": [1, "a"]}, {"goal_time": 1, "bound_to": []},
+            {"goal_time": 1}]});
+        let cases = decode(&conf).expect("settings").use_cases;
+        assert_eq!((&cases[0].kinds, &cases[0].zones), (&Some(vec![1]), &Some(vec![1, 0])));
+        assert_eq!(
+            (&cases[1].kinds, &cases[2].kinds),
+            (&Some(vec![]), &None),
+            "bound to none, and not bound"
+        );
+    }
+
     #[test]
     fn a_setting_of_the_wrong_type_or_out_of_range_is_named_and_an_unknown_one_is_skipped() {
         let well = json!({"fleet_size": 500, "weights": "live", "penalties": {"cross_zone": 0.1}, "new": [1],
@@ -241,6 +279,9 @@
             (json!({"penalties": {"cross_zone": -0.1}}), "penalties.cross_zone"),
             (json!({"limits": {"retry_after": 1}}), "limits.retry_after"),
             (json!({"locality": 2}), "locality is 2, but zones has 2"),
+            (json!({"use_cases": [{"goal_time": 1, "zones_allowed": ["c"]}]}), "use_cases.zones_allowed"),
+            (json!({"use_cases": [{"goal_time": 1, "zones_allowed": "a"}]}), "use_cases.zones_allowed"),
+            (json!({"use_cases": [{"goal_time": 1, "bound_to": [0]}]}), "use_cases.bound_to"),
             (json!({"use_cases": [{"goal_time": "soon"}]}), "use_cases.0.goal_time"),
             (json!({"realms": [{"quota_rps": null}, {"quota_rps": []}]}), "realms.1.quota_rps"),
         ] {
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -111,11 +111,14 @@
         1 if message.first.contains("cancelled") => Does::Waits(Duration::from_millis(200), "value"),
         _ => Does::Answers(200, "value"),
     });
-    let origin = Server::start(|message, number| match number % 3 {
-        _ if message.first.starts_with("GET") => Does::Answers(200, "value"),
-        0 => Does::Answers(503, ""),
-        1 => Does::Closes,
-        _ => Does::Answers(200, "done"),
+    // A write always ends alike, by the last digit of its id.
+    let origin = Server::start(|message, _| {
+        match message.first.split('?').next().map_or(b'0', |k| k.as_bytes()[k.len() - 1]) {
+            _ if message.first.starts_with("GET") => Does::Answers(200, "value"),
+            b'0'..=b'2' => Does::Answers(503, ""),
+            b'3'..=b'5' => Does::Closes,
+            _ => Does::Answers(200, "done"),
+        }
     });
     let (config, at) = managed(config(cache.addr, origin.addr));
     let proxy = Proxy::start(&config);
--- a/crates/flintwell/tests/process/sockets.rs
+++ b/crates/flintwell/tests/process/sockets.rs
@@ -542,3 +542,33 @@
     let done = || proxy.client().ask("write", &format!("last{}", origin.heard().len())).status() == 200;
     soon("served again once the origin speaks clearly", done);
 }
+
+#[test]
+fn a_bound_use_case_goes_to_no_other_kind_or_zone_also_when_its_own_are_down() {
+    let (other, own) = (misses(), Server::start(|_, _| Does::Answers(200, "own")));
+    let origin = Server::start(|_, _| Does::Answers(200, "origin"));
+    for down in [false, true] {
+        let mut config = config(other.addr, origin.addr);
+        let at = if down { closed() } else { own.addr };
+        let mut far = entry("far", other.addr, "m2", "ready");
+        far["zone"] = json!("y");
+        config["known"]["servers"] = json!([
+            entry("a", other.addr, "m1", "ready"),
+            far,
+            entry("b", at, "m2", "ready"),
+            entry("o", origin.addr, "origin", "ready")
+        ]);
+        let settings = &mut config["settings"];
+        settings["flavors"] = json!(["m1", "m2", "origin"]);
+        settings["zones"] = json!(["z", "y"]);
+        settings["specifics"]["origin_kind"] = json!(2);
+        settings["use_cases"][0]["bound_to"] = json!(["m2"]);
+        settings["use_cases"][0]["zones_allowed"] = json!(["z"]);
+        let proxy = Proxy::start(&config);
+        for n in 0..20 {
+            let answer = proxy.client().ask("read", &format!("k{n}"));
+            assert_eq!((answer.status(), answer.body.as_str()), (200, if down { "origin" } else { "own" }));
+        }
+        assert!(other.heard().is_empty(), "{:?}", other.heard());
+    }
+}
