--- a/crates/flintwell/src/accept.rs
+++ b/crates/flintwell/src/accept.rs
@@ -361,8 +361,10 @@
             (permit, listener.accept().await)
         };
         let (permit, accepted) = tokio::select! {
-            next = next => next,
+            // Danger: what comes again after it was turned back, let in once more, is turned back twice.
+            biased;
             () = shutdown.door_closed() => break,
+            next = next => next,
         };
         match accepted {
             Ok((stream, _)) => admit(stream, permit, front.clone(), &clients),
