--- a/crates/flintwell/tests/process/handover.rs
+++ b/crates/flintwell/tests/process/handover.rs
@@ -233,6 +233,15 @@
     drop(left);
 }
 
+/// A process that is ready, and what it will have logged at its end.
+fn logged(socket: &TcpListener, config: Value, folder: &Path) -> (Proxy, thread::JoinHandle<Vec<String>>) {
+    let (config, at) = managed(config);
+    let (proxy, log) = inheriting(socket, &config, folder);
+    let lines = thread::spawn(move || log.lines().map_while(Result::ok).collect());
+    soon("ready", || TcpStream::connect(at).is_ok() && get(at, "/api/ready").0 == 200);
+    (proxy, lines)
+}
+
 /// In a runtime of its own.
 fn runs<T>(work: impl Future<Output = T>) -> T {
     tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime").block_on(work)
@@ -252,10 +261,7 @@
     for version in [None, Some("flintwell hand-over 2"), Some("")] {
         let (cache, folder) = (long_answers(), Folder::new());
         let (config, socket) = (settings(&cache), TcpListener::bind("127.0.0.1:0").expect("a socket"));
-        let (config, at) = managed(config);
-        let (old, log) = inheriting(&socket, &config, &folder.0);
-        let lines = thread::spawn(move || log.lines().map_while(Result::ok).collect::<Vec<_>>());
-        soon("ready", || TcpStream::connect(at).is_ok() && get(at, "/api/ready").0 == 200);
+        let (old, lines) = logged(&socket, config, &folder.0);
         let slow = readers(socket.local_addr().expect("an address"), 6);
         thread::sleep(Duration::from_millis(300));
         let (_lock, path) = seems_to_serve(&folder.0);
@@ -284,10 +290,7 @@
 fn what_is_no_hand_over_is_refused_with_a_line_and_nothing_else_is_harmed() {
     let (cache, folder) = (long_answers(), Folder::new());
     let (config, socket) = (settings(&cache), TcpListener::bind("127.0.0.1:0").expect("a socket"));
-    let (config, at) = managed(config);
-    let (proxy, log) = inheriting(&socket, &config, &folder.0);
-    let lines = thread::spawn(move || log.lines().map_while(Result::ok).collect::<Vec<_>>());
-    soon("ready", || TcpStream::connect(at).is_ok() && get(at, "/api/ready").0 == 200);
+    let (proxy, lines) = logged(&socket, config, &folder.0);
     let named = std::fs::read_dir(folder.0.join("flintwell-n0")).expect("its folder").flatten();
     let takes = named.map(|entry| entry.path()).find(|path| path.to_string_lossy().contains("takes-"));
     let takes = takes.expect("where it takes over");
