A stage goes at the pace of the origin's room, and its evidence outlives a kill

Change: members tell what the origin refused them; a twenty-fourth of the fleet changes a round at most, and none while the origin refuses a tenth more than while observed (judged meanwhile, or a change that leaves no room itself would wait for ever). Judging begins once a stage has settled.

--- a/crates/flintwell-conduct/src/book.rs
+++ b/crates/flintwell-conduct/src/book.rs
@@ -1,7 +1,7 @@
 //! What a rollout keeps on disk: its journal and each member's new settings in an embedded store, where it stands as a
 //! file that others may read, and the staff's orders as a file that it reads.
 
-use flintwell_rollout::conductor::Journal;
+use flintwell_rollout::conductor::{Evidence, Journal};
 use redb::{Database, Durability, ReadableTable, TableDefinition};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -11,6 +11,7 @@
 
 const JOURNAL: TableDefinition<u64, &[u8]> = TableDefinition::new("journal"); // all states, in their order
 const SETTINGS: TableDefinition<&str, &[u8]> = TableDefinition::new("settings"); // by member
+const EVIDENCE: TableDefinition<(), &[u8]> = TableDefinition::new("evidence"); // the stage's under way
 const STORE: &str = "journal.redb"; // file names
 const STATUS: &str = "status.json";
 const ORDERS: &str = "orders.json";
@@ -76,6 +77,7 @@
         let write = self.store.begin_write()?;
         write.open_table(JOURNAL)?;
         write.open_table(SETTINGS)?;
+        write.open_table(EVIDENCE)?;
         write.commit()?;
         let read = self.store.begin_read()?;
         if let Some((number, state)) = read.open_table(JOURNAL)?.last()? {
@@ -90,6 +92,23 @@
         self.put(journal, &[]).map_err(|error| told(&self.folder)(&error))
     }
 
+    /// What the stage is judged by so far; one that can't be written costs a later stage's begin anew, and no more.
+    pub fn keeps(&self, evidence: &Evidence) -> Result<(), String> {
+        let put = || -> Result<(), Box<dyn std::error::Error>> {
+            let write = self.store.begin_write()?;
+            write.open_table(EVIDENCE)?.insert((), &*serde_json::to_vec(evidence)?)?;
+            Ok(write.commit()?)
+        };
+        put().map_err(|error| told(&self.folder)(&error))
+    }
+
+    /// None where nothing was kept, or by a version that kept something else.
+    pub fn evidence(&self) -> Option<Evidence> {
+        let read = self.store.begin_read().ok()?;
+        let kept = read.open_table(EVIDENCE).ok()?.get(()).ok()??;
+        serde_json::from_slice(kept.value()).ok()
+    }
+
     /// The first state of a rollout, with what each member is to get.
     pub fn begin(&mut self, journal: &Journal, settings: &[(String, Value)]) -> Result<(), String> {
         self.put(journal, settings).map_err(|error| told(&self.folder)(&error))
--- a/crates/flintwell-conduct/src/run.rs
+++ b/crates/flintwell-conduct/src/run.rs
@@ -18,6 +18,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 const TURN: Duration = Duration::from_millis(250); // between rounds; a verdict is undone in two or three
+const KEPT: u64 = 1_000; // ms between writes of a stage's evidence
 const SAMPLED: Duration = Duration::from_secs(2); // over which `plan` looks at the traffic
 
 type Wrong = Vec<String>;
@@ -192,6 +193,8 @@
     let members = places.into_iter().zip(settings.iter().map(hash)).collect();
     let epoch = journal.epoch;
     let mut conductor = Conductor::new(now(), plan.rules.clone(), members, plan.stages.clone(), journal);
+    book.evidence().into_iter().for_each(|kept| conductor.recalls(kept));
+    let mut kept_at = now();
     let mut turns = interval(TURN);
     turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut said = String::new();
@@ -223,6 +226,10 @@
         if book.last.as_ref() != Some(conductor.journal()) {
             book.write(conductor.journal()).map_err(|why| vec![why])?;
         }
+        if conductor.journal().phase == Phase::Rolling && now() >= kept_at + KEPT {
+            kept_at = now();
+            book.keeps(&conductor.evidence()).map_err(|why| vec![why])?;
+        }
         let report = report(plan, &conductor);
         book.shows(&report);
         let line = format!("{}", report).lines().take(3).collect::<Vec<_>>().join("; ");
--- a/crates/flintwell-rollout/src/conductor.rs
+++ b/crates/flintwell-rollout/src/conductor.rs
@@ -14,8 +14,23 @@
 const SHOWN: u32 = 2; // recoveries at which harm that meets all counts as the change's doing
 const RECOVERED: f64 = 0.5; // of the limit at which both count as worse; under it they are well again
 const LATE: u64 = 2_000; // ms past its time after which a member that is not heard has gone back for sure
+const TURNS: usize = 24; // rounds in which a whole fleet changes at the quickest, so that the origin's answer is seen between
+const ROOM: f64 = 0.1; // of fetches refused, above what was refused while observed; from there the origin has no room
+const ROOM_SEEN: u64 = 1_000; // ms; over which its refusals are looked at: longer, and more has changed meanwhile
+const ROOM_LEAST: u64 = 20; // fetches within it; under that a share says nothing
 const MEMORY_LEAST: u64 = 16_384; // kB more than the old ones; less is no leak, whatever the ratio
 
+/// What a stage was judged by so far. Kept beside the journal, so that a kill costs what came since it was written and
+/// no more; without it the stage's evidence would begin anew, and its chance of a false stop with it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    epoch: u64,
+    stages: usize,
+    judge: Judge,
+    base: (u64, u64),
+    base_room: (u64, u64),
+}
+
 /// One proxy of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Place {
@@ -133,12 +148,17 @@
     journal: Journal,
     heard: Vec<Heard>,
     judge: Judge,
-    /// When the phase, or the stage as it is now, was reached by all its members.
+    /// When the phase was reached, or the stage as it is now by all its members, and they have settled.
     reached: Option<u64>,
     began: u64,
     /// Lost and all of the old ones, by when they were told.
     recent: Vec<(u64, u64, u64)>,
     base: (u64, u64),
+    /// Refused by the origin and sent to it, of all members, by when they were told; and while observed.
+    room: Vec<(u64, u64, u64)>,
+    base_room: (u64, u64),
+    /// Since when the stage waits for the origin's room.
+    short_since: Option<u64>,
     worse_since: Option<u64>,
     /// Of the old ones, within this spell and the one before.
     old_times: [Histogram<u64>; 2],
@@ -179,6 +199,9 @@
             began: now,
             recent: Vec::new(),
             base: (0, 0),
+            room: Vec::new(),
+            base_room: (0, 0),
+            short_since: None,
             worse_since: None,
             old_times: [new_times(), new_times()],
             spell: now,
@@ -190,6 +213,22 @@
     pub fn journal(&self) -> &Journal {
         &self.journal
     }
+    /// To be kept, where it may be asked for again.
+    pub fn evidence(&self) -> Evidence {
+        let Journal { epoch, stages, .. } = self.journal;
+        let (judge, base, base_room) = (self.judge.clone(), self.base, self.base_room);
+        Evidence { epoch, stages, judge, base, base_room }
+    }
+    /// What was kept by whoever rolled out before us. Of an earlier stage only what was observed still counts.
+    pub fn recalls(&mut self, kept: Evidence) {
+        if kept.epoch != self.journal.epoch || self.journal.phase != Phase::Rolling {
+            return;
+        }
+        (self.judge, self.base, self.base_room) = (kept.judge, kept.base, kept.base_room);
+        if kept.stages != self.journal.stages {
+            self.judge.begins_anew();
+        }
+    }
     /// Why it neither goes on nor back.
     pub fn hold(&self) -> Option<&str> {
         self.hold.as_deref()
@@ -300,6 +339,8 @@
                 // One that can't be taken off was of another process.
                 let _ = passed.subtract(before);
             }
+            let of = |told: fn(&Figures) -> u64| told(new).saturating_sub(told(&last));
+            self.room.push((now, of(|told| told.refused), of(|told| told.fetches)));
             let sample = between(&last, new, passed.as_ref(), slow_from);
             if !ours {
                 // Bounds are alike, or it would not have been read.
@@ -331,17 +372,17 @@
 
     /// Looks at all, decides, and says what each member is to be told. The journal has to lie on disk before that.
     pub fn step(&mut self, now: u64) -> Vec<(usize, Word)> {
-        self.judges();
+        self.judges(now);
         let before = (self.journal.phase, self.journal.stages);
         self.decides(now);
         if (self.journal.phase, self.journal.stages) != before {
-            (self.reached, self.worse_since) = (None, None);
+            (self.reached, self.worse_since, self.short_since) = (None, None, None);
         }
         self.words(now)
     }
 
     /// New beside old, zone by zone, in what all told since the last look.
-    fn judges(&mut self) {
+    fn judges(&mut self, now: u64) {
         let mut zones: BTreeMap<&str, Pair> = BTreeMap::new();
         let carriers = match self.journal.phase {
             // As it will be at the first stage.
@@ -349,6 +390,10 @@
             _ => 0,
         };
         let controls = self.controls();
+        // Danger: a change that itself leaves the origin no room would wait half-way for ever, and never be judged.
+        let waits = self.short_since.is_some_and(|since| now >= since + self.rules.settle);
+        // Danger: judged while it settles, what every change costs at first would be held against this one.
+        let judged = self.reached.is_some_and(|settled| now >= settled) || waits;
         for (n, heard) in self.heard.iter_mut().enumerate() {
             let Some((ours, sample)) = heard.delta.take() else { continue };
             if !controls.is_empty() && !ours && !controls.contains(&n) {
@@ -361,7 +406,7 @@
         for (zone, pair) in zones {
             match self.journal.phase {
                 Phase::Observing => self.judge.before(zone, &pair),
-                Phase::Rolling if self.reached.is_some() => self.judge.takes(zone, &pair),
+                Phase::Rolling if judged => self.judge.takes(zone, &pair),
                 _ => {}
             }
         }
@@ -373,6 +418,21 @@
         self.recent.iter().fold((0, 0), |sum, told| (sum.0 + told.1, sum.1 + told.2))
     }
 
+    /// Why nothing more is begun: the origin refuses more than it did while observed.
+    fn short(&mut self, now: u64) -> Option<String> {
+        let (refused, all) = self.origin(now);
+        let base = self.base_room.0 as f64 / self.base_room.1.max(1) as f64;
+        let short = all >= ROOM_LEAST && refused as f64 > (base + ROOM) * all as f64;
+        self.short_since = short.then(|| self.short_since.unwrap_or(now));
+        short.then(|| format!("the origin refuses {refused} of {all} fetches; going on when it has room"))
+    }
+
+    /// Refused by the origin and sent to it within the last second.
+    fn origin(&mut self, now: u64) -> (u64, u64) {
+        self.room.retain(|told| told.0 + ROOM_SEEN > now);
+        self.room.iter().fold((0, 0), |sum, told| (sum.0 + told.1, sum.1 + told.2))
+    }
+
     /// Whether the old ones are worse than while observed, too; none where too little is heard of them.
     fn old_worse(&mut self, now: u64) -> Option<bool> {
         let (lost, all) = self.lately(now);
@@ -423,7 +483,7 @@
         let since = *self.reached.get_or_insert(now);
         if now >= since + self.rules.observe {
             let lately = self.lately(now);
-            self.base = lately;
+            (self.base, self.base_room) = (lately, self.origin(now));
             (self.journal.phase, self.journal.stages) = (Phase::Rolling, 1);
         }
     }
@@ -473,7 +533,12 @@
         }
         let ready = (0..wanted).all(|n| self.has(n)) && self.controls().all(|n| self.again(n));
         self.hold = self.names(now, "not heard").or(self.paused());
-        if self.hold.is_some() || !ready {
+        if self.hold.is_some() {
+            return;
+        }
+        let short = self.short(now);
+        if !ready {
+            self.hold = short;
             return;
         }
         let since = *self.reached.get_or_insert(now + self.rules.settle);
@@ -484,6 +549,10 @@
                 self.hold = Some(format!("too few accesses of the new: {judged} of {}", self.rules.accesses));
             }
             _ if self.journal.stages < self.stages.len() => {
+                if short.is_some() {
+                    self.hold = short;
+                    return;
+                }
                 (self.journal.stages, self.journal.recovered) = (self.journal.stages + 1, 0);
                 self.judge.begins_anew();
             }
@@ -523,7 +592,8 @@
     /// only the way back that is cut.
     fn words(&mut self, now: u64) -> Vec<(usize, Word)> {
         let wanted = self.wanted();
-        let mut words = Vec::new();
+        let (mut words, mut applied) = (Vec::new(), 0);
+        let pace = self.members.len().div_ceil(TURNS);
         for n in 0..self.members.len() {
             let Some(status) = &self.heard[n].status else { continue };
             let (epoch, heard) = (self.journal.epoch, &self.heard[n]);
@@ -536,10 +606,13 @@
                 (_, false) if n >= wanted => None,
                 // Danger: nothing new is begun while it is held, nor given again to one that may have ended of it.
                 (Phase::Rolling, false) if self.hold.is_some() || heard.refused.is_some() => None,
+                // Danger: a stage of hundreds at once would ask the origin for all their moved keys before it can refuse.
+                (Phase::Rolling, false) if status.staged == Some(epoch) && applied >= pace => None,
                 (_, false) if status.staged == Some(epoch) => Some(Word::Apply),
                 (_, false) => Some(Word::Stage),
             };
             if let Some(word) = word {
+                applied += usize::from(word == Word::Apply);
                 if matches!(word, Word::Apply | Word::Renew) {
                     self.heard[n].until = now + self.rules.within;
                 }
--- a/crates/flintwell-rollout/src/wire.rs
+++ b/crates/flintwell-rollout/src/wire.rs
@@ -98,6 +98,9 @@
     pub hand_offs: u64,
     /// Hand-offs to the origin.
     pub fetches: u64,
+    /// Of those, turned away by it; one before this was counted tells none.
+    #[serde(default)]
+    pub refused: u64,
     pub memory_kb: u64,
     /// Microseconds from an access's last byte to its answer: an HDR histogram, V2, in base 64.
     pub times: String,
--- a/crates/flintwell/src/accesses/access.rs
+++ b/crates/flintwell/src/accesses/access.rs
@@ -52,6 +52,9 @@
                 }
                 match ended {
                     Ok(answered) => {
+                        if fetch && answered.ending == Ending::Full {
+                            one_more(&counts.refused);
+                        }
                         seat.ended(answered.ending, wait, answered.first);
                         if answered.ending == Ending::Honoured {
                             return Answer::Honoured(answered.body);
--- a/crates/flintwell/src/staff/counts.rs
+++ b/crates/flintwell/src/staff/counts.rs
@@ -42,6 +42,8 @@
     pub hand_offs: Count,
     /// Hand-offs to the origin.
     pub fetches: Count,
+    /// Of those, turned away as full.
+    pub refused: Count,
 }
 
 /// An access in hand, for as long as this lives.
@@ -73,6 +75,7 @@
             in_hand: Count::default(),
             hand_offs: Count::default(),
             fetches: Count::default(),
+            refused: Count::default(),
         };
         counts.knows(cases);
         Rc::new(counts)
@@ -137,6 +140,7 @@
             cases: cases.iter().map(|(case, ended)| (case.clone(), ends(ended))).collect(),
             hand_offs: self.hand_offs.get(),
             fetches: self.fetches.get(),
+            refused: self.refused.get(),
             memory_kb: memory_kb().unwrap_or(0),
             times: self.times.as_ref().map_or_else(String::new, |times| encode_times(&times.borrow())),
         }
