The rig leaves a run's plan, timeline and figures, and plays it again beside them

Cause: a run could be told only by its table; nobody could see in what order a fault, an answer and a log line came, nor play what was found once more.

A version that stands still for 0.3 s every 10 s joins the bad rollouts.

--- a/crates/flintwell-rig/src/check.rs
+++ b/crates/flintwell-rig/src/check.rs
@@ -3,7 +3,7 @@
 
 use flintwell_standins::clients::Seen;
 use flintwell_standins::world::{Change, Did, Made, State, Took};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const SLACK: f64 = 50.0; // ms; what sockets add to each limit, by the protocol page
@@ -19,7 +19,7 @@
     pub memory_ms: Option<f64>,
 }
 
-#[derive(Clone, Debug, Serialize, PartialEq)]
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct Breach {
     pub rule: u8,
     pub at_ms: f64,
--- a/crates/flintwell-rig/src/lib.rs
+++ b/crates/flintwell-rig/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod fleet;
 pub mod plan;
 pub mod process;
+pub mod record;
 pub mod relay;
 pub mod rollouts;
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use flintwell_rig::fleet::{Fleet, Shape};
 use flintwell_rig::plan::{Outcome, Plan};
-use flintwell_rig::rollouts;
+use flintwell_rig::{record, rollouts};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -34,7 +34,12 @@
         /// Prints one JSON object
         #[arg(long)]
         json: bool,
+        /// A folder for the plan as it was played, one merged timeline and the figures
+        #[arg(long)]
+        out: Option<PathBuf>,
     },
+    /// Plays again what `run --out` left in a folder, and shows both plays side by side
+    Replay { folder: PathBuf },
     /// Rolls out many changes, good and bad, each on a fresh fleet, and says how each went
     Rollouts {
         #[arg(long, default_value_t = 24)]
@@ -91,10 +96,13 @@
             try_out(*proxies, &arguments.program, folder.path()).await?;
             Ok(true)
         }
-        Command::Run { plan, seed, json } => {
+        Command::Run { plan, seed, json, out } => {
             let mut plan = Plan::read(plan)?;
             plan.seed = seed.unwrap_or(plan.seed);
             let outcome = plan.run(&arguments.program, folder.path()).await?;
+            if let Some(out) = out {
+                record::leave(out, &plan, &outcome)?;
+            }
             if *json {
                 println!("{}", serde_json::to_string(&outcome).map_err(|e| e.to_string())?);
             } else {
@@ -102,6 +110,17 @@
             }
             Ok(outcome.breaches.is_empty())
         }
+        Command::Replay { folder: left } => {
+            let (plan, before) = record::left(left)?;
+            let outcome = plan.run(&arguments.program, folder.path()).await?;
+            println!("{:12} {:>9} {:>9}", "seed", before.seed, outcome.seed);
+            for ((what, then), (_, now)) in record::sums(&before).into_iter().zip(record::sums(&outcome)) {
+                println!("{what:12} {then:9} {now:9}");
+            }
+            println!("{:12} {:9} {:9}", "breaches", before.breaches.len(), outcome.breaches.len());
+            outcome.breaches.iter().for_each(|one| println!("rule {}: {}", one.rule, one.what));
+            Ok(outcome.breaches.is_empty())
+        }
         Command::Rollouts { proxies, count, from, out } => {
             let mut shape = Shape { proxies: *proxies, ..Shape::default() };
             shape.zones = ["a", "b", "c"].map(str::to_owned).into();
--- a/crates/flintwell-rig/src/plan.rs
+++ b/crates/flintwell-rig/src/plan.rs
@@ -2,6 +2,7 @@
 
 use crate::check::Breach;
 use crate::fleet::{Fleet, Shape};
+use crate::record::{Line, timeline};
 use crate::relay::Way;
 use flintwell_standins::world::{Did, Fault, State};
 use serde::{Deserialize, Serialize};
@@ -45,7 +46,7 @@
 }
 
 /// Accesses within one second of the run.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Second {
     pub accesses: usize,
     pub honoured: usize,
@@ -57,11 +58,14 @@
     pub refused: usize,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Outcome {
     pub seed: u64,
     pub seconds: Vec<Second>,
     pub breaches: Vec<Breach>,
+    /// Kept in a file of its own.
+    #[serde(skip)]
+    pub timeline: Vec<Line>,
 }
 
 impl Plan {
@@ -81,12 +85,18 @@
         fleet.comes(self.seed, Duration::from_secs_f64(self.time_s));
         let mut events = self.events.clone();
         events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
-        for event in events {
+        for event in &events {
             sleep_until((began + Duration::from_secs_f64(event.at_s.max(0.0))).into()).await;
             happens(&mut fleet, &event.what).map_err(|why| format!("at {} s: {why}", event.at_s))?;
         }
         fleet.gone().await;
-        Ok(Outcome { seed: self.seed, seconds: seconds(&fleet, offset), breaches: fleet.breaches() })
+        let timeline = timeline(&fleet, &events, offset);
+        Ok(Outcome {
+            seed: self.seed,
+            seconds: seconds(&fleet, offset),
+            breaches: fleet.breaches(),
+            timeline,
+        })
     }
 }
 
--- a/crates/flintwell-rig/src/process.rs
+++ b/crates/flintwell-rig/src/process.rs
@@ -19,7 +19,7 @@
     arguments: Vec<String>,
     folder: PathBuf,
     child: Option<Child>,
-    log: Arc<Mutex<Vec<String>>>,
+    log: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
 impl Process {
@@ -57,7 +57,7 @@
                 }
                 let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
                 if log.len() < LINES_MOST {
-                    log.push(line);
+                    log.push((Instant::now(), line));
                 }
             }
             Some(())
@@ -124,6 +124,10 @@
     }
 
     pub fn log(&self) -> Vec<String> {
+        self.log_at().into_iter().map(|line| line.1).collect()
+    }
+    /// Each line with when it came.
+    pub fn log_at(&self) -> Vec<(Instant, String)> {
         self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
--- /dev/null
+++ b/crates/flintwell-rig/src/record.rs
@@ -0,0 +1,93 @@
+//! What a run leaves in a folder: its plan with the seed it had, one merged timeline, its figures; and a play of the
+//! same plan beside them.
+
+use crate::fleet::Fleet;
+use crate::plan::{Event, Outcome, Plan, Second};
+use serde::Serialize;
+use std::fmt::Write;
+use std::path::Path;
+
+const PLAN: &str = "plan.toml"; // file names
+const TIMELINE: &str = "timeline.jsonl";
+const OUTCOME: &str = "outcome.json";
+
+/// One line of the timeline; times in ms since the clients came.
+#[derive(Clone, Debug, Serialize)]
+pub struct Line {
+    pub at_ms: f64,
+    /// What tells it: `fault`, `list`, `client`, `node` or `log`.
+    pub by: &'static str,
+    pub who: String,
+    pub what: String,
+}
+
+/// All that was seen anywhere, in the order of time.
+pub fn timeline(fleet: &Fleet, events: &[Event], offset: f64) -> Vec<Line> {
+    let mut lines = Vec::new();
+    let mut line = |at_ms: f64, by, who: &str, what| lines.push(Line { at_ms, by, who: who.into(), what });
+    for event in events {
+        let what = serde_json::to_string(&event.what).unwrap_or_default();
+        line(event.at_s * 1e3, "fault", "rig", what);
+    }
+    for change in fleet.world.changes() {
+        line(change.at_ms - offset, "list", &change.node, change.state.word().into());
+    }
+    for seen in fleet.book.all() {
+        let status = seen.status.map_or("no answer".into(), |status| status.to_string());
+        let what = format!("{} {}: {status} after {:.1} ms", seen.case, seen.id, seen.took_ms);
+        line(seen.at_ms - offset, "client", &seen.proxy, what);
+    }
+    for took in fleet.world.took() {
+        let what = format!("{} {}: {:?}, warmth {:.2}", took.id, took.key, took.did, took.warmth);
+        line(took.at_ms - offset, "node", &took.node, what);
+    }
+    for proxy in &fleet.proxies {
+        for (at, text) in proxy.process.log_at() {
+            line(fleet.world.ms(at) - offset, "log", &proxy.process.name, text);
+        }
+    }
+    lines.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    lines
+}
+
+/// Leaves all of it in `folder`, which is made.
+pub fn leave(folder: &Path, plan: &Plan, outcome: &Outcome) -> Result<(), String> {
+    let told = |error: &dyn std::fmt::Display| format!("{}: {error}", folder.display());
+    std::fs::create_dir_all(folder).map_err(|e| told(&e))?;
+    let mut lines = String::new();
+    for line in &outcome.timeline {
+        let text = serde_json::to_string(line).map_err(|e| told(&e))?;
+        // Into a text it cannot fail.
+        let _ = writeln!(lines, "{text}");
+    }
+    let plan = toml::to_string(plan).map_err(|e| told(&e))?;
+    let figures = serde_json::to_string_pretty(outcome).map_err(|e| told(&e))?;
+    for (file, text) in [(PLAN, plan), (TIMELINE, lines), (OUTCOME, figures)] {
+        std::fs::write(folder.join(file), text).map_err(|e| told(&e))?;
+    }
+    Ok(())
+}
+
+/// The plan that a folder holds, with what came of it.
+pub fn left(folder: &Path) -> Result<(Plan, Outcome), String> {
+    let plan = Plan::read(&folder.join(PLAN))?;
+    let file = folder.join(OUTCOME);
+    let told = |error: &dyn std::fmt::Display| format!("{}: {error}", file.display());
+    let text = std::fs::read(&file).map_err(|e| told(&e))?;
+    Ok((plan, serde_json::from_slice(&text).map_err(|e| told(&e))?))
+}
+
+/// Sums over a run, for two plays side by side.
+pub fn sums(outcome: &Outcome) -> [(&'static str, usize); 8] {
+    let of = |part: fn(&Second) -> usize| outcome.seconds.iter().map(part).sum();
+    [
+        ("accesses", of(|second| second.accesses)),
+        ("honoured", of(|second| second.honoured)),
+        ("turned back", of(|second| second.turned_back)),
+        ("broken off", of(|second| second.broken_off)),
+        ("unanswered", of(|second| second.unanswered)),
+        ("hand-offs", of(|second| second.hand_offs)),
+        ("fetches", of(|second| second.fetches)),
+        ("refused", of(|second| second.refused)),
+    ]
+}
--- a/crates/flintwell-rig/src/rollouts.rs
+++ b/crates/flintwell-rig/src/rollouts.rs
@@ -55,7 +55,7 @@
     Change { name, good, what }
 }
 
-const CHANGES: [Change; 15] = [
+const CHANGES: [Change; 16] = [
     change("one hand-off more", true, What::Settings(|| json!({"limits": {"max_hand_offs": 5}}))),
     change("longer advice", true, What::Settings(|| json!({"limits": {"max_retry_after": 2.0}}))),
     change("longer goal times", true, What::Settings(|| cases(0.55, 0.55, 0.55))),
@@ -86,6 +86,15 @@
              sleep 1\nwhile kill -0 $PPID && kill -STOP $P; do sleep 0.05; kill -CONT $P; sleep 0.1; done",
         ),
     ),
+    change(
+        "stands still for 0.3 s every 10 s",
+        false,
+        What::Program(
+            "sh -c 'LISTEN_PID=$$ exec \"$0\" \"$@\"' $REAL \"$@\" &\nP=$!\ntrap 'kill -CONT $P; kill $P; exit 0' TERM\n\
+             sleep 1\nwhile kill -0 $PPID && kill -STOP $P; do sleep 0.3; kill -CONT $P; N=0; \
+             while [ $N -lt 97 ] && kill -0 $PPID; do sleep 0.1; N=$((N+1)); done; done",
+        ),
+    ),
 ];
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
--- a/crates/flintwell-standins/src/world.rs
+++ b/crates/flintwell-standins/src/world.rs
@@ -159,6 +159,11 @@
         self.began.elapsed().as_secs_f64() * 1e3
     }
 
+    /// When that was, by the same count.
+    pub fn ms(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.began).as_secs_f64() * 1e3
+    }
+
     /// The instant from which all times of the world count.
     pub fn began(&self) -> Instant {
         self.began
