Membership, one budget by loans, and a fleet in virtual time that proves both

The module takes the rate that follows (Policy::granted): fetches are spaced by it, nothing else changes, and without words nothing is. flintwell-emulator plays both with the real Policy, same seed, same run. Weighed: one that grants leases (a quorum, or nothing while it is lost), units by agreement (Raft).

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -44,6 +44,7 @@
 const EARNS: f64 = 0.7; // refusals that an answer of the origin pays for; beyond it only probes go there
 const EARNED_MOST: f64 = 8.0; // refusals; some by chance cost nothing
 const PROBE_DOUBLINGS: u32 = 3; // of its answer time, between probes; its return is seen within a second
+const GRANT_AHEAD: Micros = 200_000; // us; a grant's fetches may come so much before their turn, as bursts do
 const PAUSE: f64 = 0.5; // of the origin's mean answer time; before a fetch refused for a moment is made again
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
 const FETCH_BEARABLE: f64 = 0.5; // of the shortest goal time; quicker answers are worth having, however slow
@@ -259,6 +260,16 @@
         }
     }
 
+    /// Fetches a second that the fleet grants us at the origin from now on; none: no limit. Answers how many
+    /// accesses were to be fetched there so far, whether or not it had room.
+    pub fn granted(&mut self, now: Micros, rate: Option<f64>) -> u64 {
+        self.origin.apart = rate.map_or(0, |rate| (1e6 / rate.max(1e-3)) as Micros);
+        self.origin.turn = self.origin.turn.min(now + GRANT_AHEAD + self.origin.apart);
+        self.fetch_queued(now);
+        self.arm();
+        self.origin.wanted
+    }
+
     /// How many listed caches it avoids now, by the list's word or by its own; nothing changes by asking.
     pub fn avoided(&self, now: Micros) -> usize {
         (0..self.nodes.len()).filter(|&n| !self.of_origin(n) && self.nodes[n].avoided(now)).count()
@@ -527,7 +538,8 @@
     fn origin_has_room(&self, now: Micros, origin: usize, write: bool) -> bool {
         let most = self.origin.most * if write { WRITE_ROOM } else { 1.0 };
         let free = most >= 1.0 && self.origin.earned > 0.0;
-        f64::from(self.nodes[origin].in_flight) < most.max(1.0) && (free || now >= self.origin.after)
+        let open = (free || now >= self.origin.after) && self.origin.turn <= now + GRANT_AHEAD;
+        f64::from(self.nodes[origin].in_flight) < most.max(1.0) && open
     }
 
     fn may_fetch(&self, now: Micros) -> bool {
@@ -537,6 +549,7 @@
     /// To the origin, now or when one of those out has ended.
     fn fetch(&mut self, now: Micros, id: &AccessId) {
         let Some(origin) = self.origin.node else { return self.give_up(now, id) };
+        self.origin.wanted += 1;
         let Some(access) = self.accesses.get(id) else { return };
         let (until, expected, write) = (access.useful_until, self.origin.times.expected(), access.write);
         if self.origin_has_room(now, origin, write) {
@@ -634,6 +647,7 @@
         node.asked.add(now, HEAT_FADE);
         node.in_flight += 1;
         if at_origin {
+            self.origin.turn = self.origin.turn.max(now) + self.origin.apart;
             self.origin.after = now + (self.origin.times.mean / self.origin.most.min(1.0)) as Micros;
         } else {
             // One access tries a zone that fell silent; the next waits for what became of it.
@@ -687,7 +701,8 @@
 
     fn arm(&mut self) {
         let idle = |o: usize| self.nodes[o].in_flight == 0 && !self.origin.queue.is_empty();
-        let fetch = if self.origin.node.is_some_and(idle) { self.origin.after } else { Micros::MAX };
+        let due = self.origin.after.max(self.origin.turn - GRANT_AHEAD);
+        let fetch = if self.origin.node.is_some_and(idle) { due } else { Micros::MAX };
         let at = self.accesses.first_due().min(self.list_due).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -422,6 +422,12 @@
     /// Share of the fetches and writes that it refused.
     pub refused: Mean,
     pub after: Micros,
+    /// Accesses that were to be fetched there, sent or not.
+    pub wanted: u64,
+    /// Between two fetches, where the fleet has agreed on a rate; 0 where it has not.
+    pub apart: Micros,
+    /// When the next of those is due.
+    pub turn: Micros,
     /// Its table of connections was found full; until then what is idle there is closed.
     pub full_until: Micros,
     pub queue: VecDeque<AccessId>,
@@ -447,7 +453,9 @@
     }
     /// How many it may have within an answer time.
     pub fn pace(&self) -> f64 {
-        if self.earned > 0.0 { self.most } else { self.most.min(1.0 / f64::from(1u32 << self.probes)) }
+        let own =
+            if self.earned > 0.0 { self.most } else { self.most.min(1.0 / f64::from(1u32 << self.probes)) };
+        if self.apart > 0 { own.min(self.times.mean / self.apart as f64) } else { own }
     }
     /// Its answers take longer than at its best by this factor, and than is bearable.
     pub fn slow(&self, factor: f64) -> bool {
--- /dev/null
+++ b/crates/flintwell-emulator/src/run.rs
@@ -0,0 +1,602 @@
+//! The run itself: events in the order of virtual time.
+
+use crate::node::Node;
+use crate::plan::{Fault, Outcome, Second, Shape};
+use flintwell_core::interface::{
+    AccessId, Arrival, Effect, Ending, Entry, Group, Host, Key, ListKind, Micros, NodeId, Settings, Sizes,
+    Standing, UseCase,
+};
+use flintwell_core::policy::Policy;
+use flintwell_membership::member::{self, Id, Member, Wire};
+use flintwell_shared_limits::loans::EACH;
+use flintwell_shared_limits::share::{Counted, ROUND, Share, Word};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, Zipf};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+const PATH: Micros = 200; // us one way, between any two parties
+const SPREAD: Micros = 100; // us; the most by which a datagram is later than that
+const REFUSAL: Micros = 300; // us in which a full node says so
+const GOAL: Micros = 500_000; // us
+const OUTER: Micros = 1_000_000; // us
+const PORT: u16 = 7_000;
+const SKEW: f64 = 0.8; // of the keys' Zipf law
+const SECOND: Micros = 1_000_000;
+
+enum Action {
+    HandOff(AccessId, NodeId, Micros),
+    TurnBack(AccessId, Micros),
+    BreakOff(AccessId),
+    Wake(u64, Micros),
+}
+
+#[derive(Clone, Default)]
+struct Out(Rc<RefCell<Vec<Action>>>);
+
+impl Host for Out {
+    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros) {
+        self.0.borrow_mut().push(Action::HandOff(access.clone(), node.clone(), allow_for));
+    }
+    fn turn_back(&mut self, access: &AccessId, stay_away: Micros) {
+        self.0.borrow_mut().push(Action::TurnBack(access.clone(), stay_away));
+    }
+    fn break_off(&mut self, access: &AccessId) {
+        self.0.borrow_mut().push(Action::BreakOff(access.clone()));
+    }
+    fn close_idle(&mut self, _: &NodeId) {}
+    fn wake_at(&mut self, label: u64, at: Micros) {
+        self.0.borrow_mut().push(Action::Wake(label, at));
+    }
+    fn watch_list(&mut self) {}
+}
+
+/// Datagrams and words of one call.
+#[derive(Default)]
+struct Mail {
+    sends: Vec<(SocketAddr, Vec<u8>)>,
+    heard: Vec<(Id, Vec<u8>)>,
+}
+
+impl Wire for Mail {
+    fn sends(&mut self, to: SocketAddr, datagram: &[u8]) {
+        self.sends.push((to, datagram.to_vec()));
+    }
+    fn hears(&mut self, from: &Id, word: &[u8]) {
+        self.heard.push((from.clone(), word.to_vec()));
+    }
+}
+
+struct Access {
+    key: u64,
+    came: Micros,
+    again: u32,
+    hand_offs: usize,
+    out: Option<usize>,
+    over: bool,
+    /// Caches that lacked its key.
+    missed: Vec<usize>,
+}
+
+struct Proxy {
+    policy: Policy<Out>,
+    out: Out,
+    life: u64,
+    paused_until: Micros,
+    rate: f64,
+    accesses: HashMap<AccessId, Access>,
+    counted: Counted,
+    speaks: Option<(Member, Share)>,
+    lies: bool,
+}
+
+enum Event {
+    Client(usize),
+    Arrives { proxy: usize, key: u64, again: u32 },
+    AtNode { proxy: usize, id: AccessId, node: usize, number: usize, sent: Micros },
+    Free(usize),
+    Ends { proxy: usize, id: AccessId, node: usize, number: usize, sent: Micros, ending: Ending },
+    Wakes { proxy: usize, life: u64, label: u64 },
+    Datagram { to: usize, bytes: Vec<u8> },
+    Ticks { proxy: usize, life: u64 },
+    Round { proxy: usize, life: u64 },
+    Fault(usize),
+}
+
+impl Event {
+    /// Whose process has to run for it.
+    fn proxy(&self) -> Option<usize> {
+        match self {
+            Event::Arrives { proxy, .. }
+            | Event::Ends { proxy, .. }
+            | Event::Wakes { proxy, .. }
+            | Event::Datagram { to: proxy, .. }
+            | Event::Ticks { proxy, .. }
+            | Event::Round { proxy, .. } => Some(*proxy),
+            _ => None,
+        }
+    }
+}
+
+struct World {
+    shape: Shape,
+    faults: Vec<(Micros, Fault)>,
+    rng: ChaCha8Rng,
+    now: Micros,
+    events: BTreeMap<(Micros, u64), Event>,
+    count: u64,
+    nodes: Vec<(NodeId, Node)>,
+    places: HashMap<NodeId, usize>,
+    proxies: Vec<Proxy>,
+    cut: Option<usize>,
+    fresh: u64,
+    names: u64,
+    outcome: Outcome,
+}
+
+fn addr(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (n >> 8) as u8, n as u8], PORT))
+}
+
+fn number(addr: SocketAddr) -> usize {
+    match addr.ip() {
+        std::net::IpAddr::V4(ip) => usize::from(ip.octets()[2]) << 8 | usize::from(ip.octets()[3]),
+        std::net::IpAddr::V6(_) => usize::MAX,
+    }
+}
+
+fn settings(shape: &Shape, index: usize) -> Settings {
+    let case = UseCase {
+        effect: Effect::Replayable,
+        group: Group::All,
+        memory: 0,
+        goal_time: GOAL,
+        goal_stretch: 0.0,
+        late_share: 0.0,
+        kinds: None,
+        zones: None,
+    };
+    Settings {
+        use_cases: vec![case],
+        quotas: Vec::new(),
+        aside: true,
+        origin_kind: Some(1),
+        index: index as u32,
+        zone: index as u32 % shape.zones,
+        zones: shape.zones,
+        cross_price: 0.0,
+        fleet_size: shape.proxies as u32,
+        max_hand_offs: 4,
+        max_stay_away: 1_500_000,
+        list_on_request: false,
+        ask_within: 10 * SECOND,
+        sizes: Sizes::None,
+        start_capacity: 0.2,
+        ramp_time: 5 * SECOND,
+        start_drift: 0,
+        connection_price: 0.0,
+        fall: 2 * SECOND,
+    }
+}
+
+/// Plays the faults, each at its time, on a fleet of this shape.
+pub fn play(shape: &Shape, faults: &[(Micros, Fault)]) -> Outcome {
+    let mut world = World::new(shape, faults);
+    let end = shape.seconds * SECOND;
+    // What was asked last gets its answer.
+    while let Some((&(at, count), _)) = world.events.first_key_value() {
+        if at > end + 2 * OUTER {
+            break;
+        }
+        world.now = at;
+        if let Some(event) = world.events.remove(&(at, count)) {
+            world.happens(event, end);
+        }
+    }
+    let open = world.proxies.iter().flat_map(|proxy| proxy.accesses.values());
+    world.outcome.lost = open.filter(|access| !access.over).count() as u64;
+    world.outcome.seconds.truncate(shape.seconds as usize);
+    world.outcome
+}
+
+impl World {
+    fn new(shape: &Shape, faults: &[(Micros, Fault)]) -> Self {
+        let mut nodes: Vec<(NodeId, Node)> = Vec::new();
+        for n in 0..shape.caches * shape.zones as usize {
+            let node = Node::new(shape.cache_workers, shape.cache_queue, shape.cache_time);
+            nodes.push((format!("cache-{n:03}").into(), node));
+        }
+        nodes.push(("origin".into(), Node::new(shape.origin_room, 0, shape.origin_time)));
+        let places = nodes.iter().enumerate().map(|(n, node)| (node.0.clone(), n)).collect();
+        let mut world = World {
+            rng: ChaCha8Rng::seed_from_u64(shape.seed),
+            shape: shape.clone(),
+            faults: faults.to_vec(),
+            now: 0,
+            events: BTreeMap::new(),
+            count: 0,
+            nodes,
+            places,
+            proxies: Vec::new(),
+            cut: None,
+            fresh: 1 << 32,
+            names: 0,
+            outcome: Outcome::default(),
+        };
+        for n in 0..shape.proxies {
+            let proxy = world.begins(n, 1);
+            world.proxies.push(proxy);
+            world.at(world.now, Event::Client(n));
+            world.drains(n);
+        }
+        for (n, (at, _)) in faults.iter().enumerate() {
+            world.at(*at, Event::Fault(n));
+        }
+        world
+    }
+
+    fn begins(&mut self, n: usize, life: u64) -> Proxy {
+        let out = Out::default();
+        let seed = self.rng.random();
+        let mut policy = Policy::start(self.now, settings(&self.shape, n), seed, out.clone());
+        let last = self.nodes.len() - 1;
+        let entry = |(place, (id, _)): (usize, &(NodeId, Node))| Entry {
+            node: id.clone(),
+            zone: (place % self.shape.zones as usize) as u32,
+            kind: u32::from(place == last),
+            standing: Standing::Ready,
+            ..Entry::default()
+        };
+        policy.list(self.now, ListKind::Whole, self.nodes.iter().enumerate().map(entry).collect());
+        let ms = (self.now / 1_000) as u64;
+        let speaks = self.shape.words.then(|| {
+            let settings = member::Settings {
+                cluster: "emulated".into(),
+                key: Vec::new(),
+                id: Id { number: n as u32, addr: addr(n), life },
+                seeds: (0..self.shape.proxies.min(3)).map(addr).collect(),
+                fleet: self.shape.proxies as u32,
+                seed,
+            };
+            (Member::start(ms, settings), Share::start(ms, life, self.shape.proxies as u32, seed))
+        });
+        if self.shape.words {
+            self.at(self.now, Event::Ticks { proxy: n, life });
+            let first = self.rng.random_range(0..ROUND as Micros * 1_000);
+            self.at(self.now + first, Event::Round { proxy: n, life });
+        }
+        Proxy {
+            policy,
+            out,
+            life,
+            paused_until: 0,
+            rate: self.shape.rate,
+            accesses: HashMap::new(),
+            counted: Counted::default(),
+            speaks,
+            lies: false,
+        }
+    }
+
+    fn at(&mut self, at: Micros, event: Event) {
+        self.count += 1;
+        self.events.insert((at, self.count), event);
+    }
+
+    fn second(&mut self, at: Micros) -> &mut Second {
+        let n = (at / SECOND) as usize;
+        if self.outcome.seconds.len() <= n {
+            self.outcome.seconds.resize(n + 1, Second::default());
+        }
+        &mut self.outcome.seconds[n]
+    }
+
+    fn happens(&mut self, event: Event, end: Micros) {
+        if let Some(until) =
+            event.proxy().map(|n| self.proxies[n].paused_until).filter(|&until| until > self.now)
+        {
+            return self.at(until, event);
+        }
+        match event {
+            Event::Client(n) => {
+                if self.now >= end {
+                    return;
+                }
+                let rate = self.proxies[n].rate;
+                // One that nobody asks looks again later.
+                let gap = match Exp::new(rate) {
+                    Ok(gap) if rate > 0.0 => gap.sample(&mut self.rng),
+                    _ => 0.1,
+                };
+                if rate > 0.0 {
+                    let key = self.key();
+                    self.second(self.now).fresh += 1;
+                    self.at(self.now, Event::Arrives { proxy: n, key, again: 0 });
+                }
+                self.at(self.now + (gap * 1e6) as Micros + 1, Event::Client(n));
+            }
+            Event::Arrives { proxy, key, again } => self.arrives(proxy, key, again),
+            Event::AtNode { proxy, id, node, number, sent } => self.at_node(proxy, id, node, number, sent),
+            Event::Free(node) => self.nodes[node].1.waiting -= 1,
+            Event::Ends { proxy, id, node, number, sent, ending } => {
+                self.ends(proxy, &id, node, number, sent, ending);
+            }
+            Event::Wakes { proxy, life, label } => {
+                if self.proxies[proxy].life == life {
+                    let now = self.now;
+                    self.proxies[proxy].policy.timer(now, label);
+                    self.drains(proxy);
+                }
+            }
+            Event::Datagram { to, bytes } => {
+                let ms = (self.now / 1_000) as u64;
+                let mut mail = Mail::default();
+                if let Some((member, _)) = &mut self.proxies[to].speaks {
+                    member.receives(ms, &bytes, &mut mail);
+                }
+                self.posts(to, mail);
+            }
+            Event::Ticks { proxy, life } => {
+                let ms = (self.now / 1_000) as u64;
+                if self.proxies[proxy].life != life {
+                    return;
+                }
+                let mut mail = Mail::default();
+                let mut due = ms + 1;
+                if let Some((member, _)) = &mut self.proxies[proxy].speaks {
+                    member.tick(ms, &mut mail);
+                    due = member.due().max(ms + 1);
+                }
+                self.posts(proxy, mail);
+                // A datagram may set an earlier time; so it is looked at every some ms.
+                let due = due.min(ms + 20);
+                self.at(due as Micros * 1_000, Event::Ticks { proxy, life });
+            }
+            Event::Round { proxy, life } => self.round(proxy, life),
+            Event::Fault(n) => self.fault(self.faults[n].1),
+        }
+    }
+
+    fn key(&mut self) -> u64 {
+        if self.rng.random_bool(self.shape.new_keys) {
+            self.fresh += 1;
+            return self.fresh;
+        }
+        match Zipf::new(self.shape.keys.max(1) as f64, SKEW) {
+            Ok(zipf) => zipf.sample(&mut self.rng) as u64,
+            Err(_) => 0,
+        }
+    }
+
+    fn arrives(&mut self, n: usize, key: u64, again: u32) {
+        self.names += 1;
+        let (now, id) = (self.now, AccessId::from(format!("a{}", self.names)));
+        self.second(now).accesses += 1;
+        let access =
+            Access { key, came: now, again, hand_offs: 0, out: None, over: false, missed: Vec::new() };
+        self.proxies[n].accesses.insert(id.clone(), access);
+        let arrival = Arrival {
+            id,
+            use_case: 0,
+            tenant: 0,
+            key: Some(Key::from(key.to_string())),
+            outer_limit: now + OUTER,
+            work: None,
+            write: false,
+        };
+        self.proxies[n].policy.access_arrives(now, arrival);
+        self.drains(n);
+    }
+
+    /// What the module asked for.
+    fn drains(&mut self, n: usize) {
+        loop {
+            let actions = std::mem::take(&mut *self.proxies[n].out.0.borrow_mut());
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                let life = self.proxies[n].life;
+                match action {
+                    Action::Wake(label, at) => {
+                        self.at(at.max(self.now), Event::Wakes { proxy: n, life, label });
+                    }
+                    Action::HandOff(id, node, allow_for) => {
+                        let Some(&place) = self.places.get(&node) else { continue };
+                        let Some(access) = self.proxies[n].accesses.get_mut(&id) else { continue };
+                        let (number, sent) = (access.hand_offs, self.now);
+                        access.hand_offs += 1;
+                        access.out = Some(number);
+                        self.at(
+                            sent + PATH,
+                            Event::AtNode { proxy: n, id: id.clone(), node: place, number, sent },
+                        );
+                        let ending = Ending::TimedOut;
+                        self.at(
+                            sent + allow_for,
+                            Event::Ends { proxy: n, id, node: place, number, sent, ending },
+                        );
+                    }
+                    Action::TurnBack(id, stay_away) => {
+                        let Some((key, again)) = self.answered(n, &id) else { continue };
+                        self.second(self.now).turned_back += 1;
+                        if again < self.shape.again {
+                            // Clients heed the advice, and none comes at the very moment.
+                            let wait = stay_away.max(50_000) + self.rng.random_range(0..50_000);
+                            self.at(self.now + wait, Event::Arrives { proxy: n, key, again: again + 1 });
+                        }
+                    }
+                    Action::BreakOff(id) => {
+                        if self.answered(n, &id).is_some() {
+                            self.second(self.now).broken_off += 1;
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// A final answer; its key and how often it came again.
+    fn answered(&mut self, n: usize, id: &AccessId) -> Option<(u64, u32)> {
+        let access = self.proxies[n].accesses.get_mut(id)?;
+        self.outcome.doubled += u64::from(access.over);
+        access.over = true;
+        let told = (access.key, access.again);
+        if access.out.is_none() {
+            self.proxies[n].accesses.remove(id);
+        }
+        Some(told)
+    }
+
+    fn at_node(&mut self, proxy: usize, id: AccessId, node: usize, number: usize, sent: Micros) {
+        let origin = node + 1 == self.nodes.len();
+        let now = self.now;
+        let Some(access) = self.proxies[proxy].accesses.get(&id) else { return };
+        let (key, missed) = (access.key, access.missed.clone());
+        let (at, ending) = match self.nodes[node].1.takes(now) {
+            None => {
+                self.second(now).refused += u64::from(origin);
+                (now + REFUSAL, Ending::Full)
+            }
+            Some(done) => {
+                self.at(done, Event::Free(node));
+                if origin {
+                    self.second(now).fetched += 1;
+                    missed.iter().for_each(|&cache| {
+                        self.nodes[cache].1.values.insert(key);
+                    });
+                    (done, Ending::Honoured)
+                } else if self.nodes[node].1.values.contains(&key) {
+                    (done, Ending::Honoured)
+                } else {
+                    (done, Ending::Miss)
+                }
+            }
+        };
+        self.at(at + PATH, Event::Ends { proxy, id, node, number, sent, ending });
+    }
+
+    fn ends(&mut self, n: usize, id: &AccessId, node: usize, number: usize, sent: Micros, ending: Ending) {
+        let now = self.now;
+        let origin = node + 1 == self.nodes.len();
+        let Some(access) = self.proxies[n].accesses.get_mut(id) else { return };
+        // What ended before ends no second time.
+        if access.out != Some(number) {
+            return;
+        }
+        access.out = None;
+        if ending == Ending::Miss {
+            access.missed.push(node);
+        }
+        let before = access.over;
+        access.over |= ending == Ending::Honoured;
+        let (settled, came) = (access.over, access.came);
+        if origin {
+            let counted = &mut self.proxies[n].counted;
+            counted.taken += u64::from(ending == Ending::Honoured);
+            counted.refused += u64::from(ending == Ending::Full);
+        }
+        if ending == Ending::Honoured && !before {
+            let second = self.second(now);
+            second.honoured += 1;
+            second.in_time += u64::from(now <= came + GOAL);
+        }
+        let (name, wait) = (self.nodes[node].0.clone(), now - sent);
+        let outcome = flintwell_core::interface::Outcome { number, ending, wait, settled, first: false };
+        self.proxies[n].policy.outcome(now, id, &name, outcome);
+        if settled {
+            self.proxies[n].accesses.remove(id);
+        }
+        self.drains(n);
+    }
+
+    fn round(&mut self, n: usize, life: u64) {
+        if self.proxies[n].life != life {
+            return;
+        }
+        let ms = (self.now / 1_000) as u64;
+        let now = self.now;
+        let mut mail = Mail::default();
+        let proxy = &mut self.proxies[n];
+        if let Some((member, share)) = &mut proxy.speaks {
+            proxy.counted.wanted = proxy.policy.granted(now, share.rate(ms));
+            let others = member.others();
+            let numbers: Vec<u32> = others.iter().map(|other| other.number).collect();
+            for (to, mut word) in share.round(ms, proxy.counted, &numbers) {
+                if let Word::Told { taken, refused, worth, .. } = &mut word
+                    && proxy.lies
+                {
+                    (*taken, *refused, *worth) = (0.0, 1e6, Some(1e-6));
+                }
+                if let Some(to) = others.iter().find(|other| other.number == to) {
+                    member.tells(to, &word.encode(), &mut mail);
+                }
+            }
+        }
+        self.posts(n, mail);
+        self.drains(n);
+        self.weighs();
+        self.at(now + ROUND as Micros * 1_000, Event::Round { proxy: n, life });
+    }
+
+    /// Units in use over the fleet, against those there are.
+    fn weighs(&mut self) {
+        let ms = (self.now / 1_000) as u64;
+        let in_use = |proxy: &Proxy| proxy.speaks.as_ref().map_or(0, |(_, share)| share.units(ms));
+        let all: u32 = self.proxies.iter().map(in_use).sum();
+        self.outcome.excess = self.outcome.excess.max(all.saturating_sub(EACH * self.proxies.len() as u32));
+    }
+
+    /// Sends what a member says, and lets its share hear what came.
+    fn posts(&mut self, n: usize, mail: Mail) {
+        let ms = (self.now / 1_000) as u64;
+        let mut answers = Mail::default();
+        if let Some((member, share)) = &mut self.proxies[n].speaks {
+            for (from, bytes) in mail.heard {
+                let answer = Word::decode(&bytes).and_then(|word| share.hears(ms, from.number, word));
+                answer.into_iter().for_each(|word| member.tells(&from, &word.encode(), &mut answers));
+            }
+        }
+        for (to, bytes) in mail.sends.into_iter().chain(answers.sends) {
+            let to = number(to);
+            let second = self.second(self.now);
+            (second.datagrams, second.bytes) = (second.datagrams + 1, second.bytes + bytes.len() as u64);
+            let cut = self.cut.is_some_and(|below| (n < below) != (to < below));
+            if to >= self.proxies.len() || cut || self.rng.random::<f64>() < self.shape.loss {
+                continue;
+            }
+            for _ in 0..1 + usize::from(self.rng.random::<f64>() < self.shape.loss) {
+                let late = self.rng.random_range(0..SPREAD);
+                self.at(self.now + PATH + late, Event::Datagram { to, bytes: bytes.clone() });
+            }
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::OriginRoom(room) => {
+                if let Some((_, origin)) = self.nodes.last_mut() {
+                    origin.workers = room;
+                }
+            }
+            Fault::Pause { proxy, time } => self.proxies[proxy].paused_until = self.now + time,
+            Fault::Restart { proxy } => {
+                let life = self.proxies[proxy].life + 1;
+                let rate = self.proxies[proxy].rate;
+                self.proxies[proxy] = Proxy { rate, ..self.begins(proxy, life) };
+                self.drains(proxy);
+            }
+            Fault::Cut { below } => self.cut = Some(below),
+            Fault::Heal => self.cut = None,
+            Fault::Load { rate, below } => {
+                for (n, proxy) in self.proxies.iter_mut().enumerate() {
+                    proxy.rate = if n < below { rate } else { 0.0 };
+                }
+            }
+            Fault::Liar { proxy } => self.proxies[proxy].lies = true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flintwell-shared-limits/src/loans.rs
@@ -0,0 +1,250 @@
+//! Units that members lend one another. What is lent is not used by its owner for longer than by its borrower, on any
+//! clocks that run alike to some hundredths; so at every instant the units in use are at most those that there are,
+//! whatever words are lost, doubled or late, and whoever stands still, ends or begins anew. Nobody has to agree on
+//! anything, and who hears nobody has its own.
+
+use std::collections::BTreeMap;
+
+pub const EACH: u32 = 1_024; // units that a member owns; a loan of a hundredth of them is worth its words
+pub const KEPT: u32 = EACH / 8; // units never lent; also what one that begins anew uses while its loans may run
+pub const SPAN: u64 = 2_000; // ms of a loan as its borrower counts: a fleet's need moves within some seconds
+pub const DRIFT: f64 = 0.02; // of a span, by which two clocks may differ over it; ten times what hardware does
+const WITHHELD: u64 = SPAN + (SPAN as f64 * 2.0 * DRIFT) as u64 + 1; // ms, as its owner counts
+const LOANS_MOST: usize = 64; // given at once, and asked for; far more than a need takes
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Lent {
+    units: u32,
+    until: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Borrowed {
+    units: u32,
+    until: u64,
+}
+
+/// One member's; times in ms on its own clock, which never goes back.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Loans {
+    started: u64,
+    next: u64,
+    /// By borrower and number of the loan.
+    lent: BTreeMap<(u32, u64), Lent>,
+    /// By number, with its owner.
+    borrowed: BTreeMap<u64, (u32, Borrowed)>,
+    /// Of whom, and when. Danger: a borrower's time counts from its asking, not from the grant, which may come late.
+    asked: BTreeMap<u64, (u32, u64)>,
+}
+
+impl Loans {
+    /// `life` is higher than at any earlier start under our number, so that no loan's number comes twice.
+    pub fn start(now: u64, life: u64) -> Self {
+        let next = life << 20;
+        Loans { started: now, next, lent: BTreeMap::new(), borrowed: BTreeMap::new(), asked: BTreeMap::new() }
+    }
+
+    /// Units that may be used now.
+    pub fn has(&self, now: u64) -> u32 {
+        self.own(now) + self.borrowed_until(now)
+    }
+
+    /// Of what was borrowed, as much as will still be there then.
+    pub fn borrowed_until(&self, then: u64) -> u32 {
+        self.borrowed.values().filter(|one| then < one.1.until).map(|one| one.1.units).sum()
+    }
+
+    fn own(&self, now: u64) -> u32 {
+        // Danger: one that begins anew knows nothing of what it lent before.
+        if now < self.started + WITHHELD {
+            return KEPT;
+        }
+        let lent: u32 = self.lent.values().filter(|one| now < one.until).map(|one| one.units).sum();
+        EACH.saturating_sub(lent)
+    }
+
+    /// What could be lent now.
+    pub fn spare(&self, now: u64) -> u32 {
+        if now < self.started + WITHHELD { 0 } else { self.own(now).saturating_sub(KEPT) }
+    }
+
+    /// A number under which to ask this member; none with too many asked for.
+    pub fn asks(&mut self, now: u64, owner: u32) -> Option<u64> {
+        self.forgets(now);
+        if self.asked.len() >= LOANS_MOST {
+            return None;
+        }
+        self.next += 1;
+        self.asked.insert(self.next, (owner, now));
+        Some(self.next)
+    }
+
+    /// What is lent to one who asks, at most so much; the same again where the asking comes twice.
+    pub fn lends(&mut self, now: u64, borrower: u32, loan: u64, most: u32) -> u32 {
+        self.forgets(now);
+        if let Some(lent) = self.lent.get(&(borrower, loan)) {
+            return lent.units;
+        }
+        let units = most.min(self.spare(now));
+        if units == 0 || self.lent.len() >= LOANS_MOST {
+            return 0;
+        }
+        self.lent.insert((borrower, loan), Lent { units, until: now + WITHHELD });
+        units
+    }
+
+    /// Takes what was granted; it counts once, and only while its time from our asking lasts.
+    pub fn takes(&mut self, now: u64, owner: u32, loan: u64, units: u32) {
+        self.forgets(now);
+        if self.asked.get(&loan).is_some_and(|asked| asked.0 == owner)
+            && let Some((_, at)) = self.asked.remove(&loan)
+        {
+            let units = units.min(EACH - KEPT);
+            self.borrowed.insert(loan, (owner, Borrowed { units, until: at + SPAN }));
+        }
+    }
+
+    /// Gives back loans while at least so many borrowed units stay; whom to tell of which.
+    pub fn gives_back(&mut self, now: u64, stay: u32) -> Vec<(u32, u64)> {
+        self.forgets(now);
+        let (mut left, mut back) = (self.borrowed_until(now), Vec::new());
+        for (&loan, (owner, borrowed)) in &self.borrowed {
+            if left >= stay + borrowed.units {
+                left -= borrowed.units;
+                back.push((*owner, loan));
+            }
+        }
+        self.borrowed.retain(|loan, _| back.iter().all(|told| told.1 != *loan));
+        back
+    }
+
+    /// A borrower has given back.
+    pub fn returned(&mut self, borrower: u32, loan: u64) {
+        self.lent.remove(&(borrower, loan));
+    }
+
+    fn forgets(&mut self, now: u64) {
+        self.lent.retain(|_, one| now < one.until);
+        self.borrowed.retain(|_, one| now < one.1.until);
+        self.asked.retain(|_, one| now < one.1 + SPAN);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::{Rng, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+
+    #[test]
+    fn a_loan_counts_from_the_asking_and_once() {
+        let (mut owner, mut borrower) = (Loans::start(0, 1), Loans::start(0, 1));
+        assert_eq!((owner.has(0), owner.spare(0), owner.has(3_000)), (KEPT, 0, EACH));
+        let loan = borrower.asks(3_000, 7).expect("room");
+        assert_eq!(owner.lends(3_050, 1, loan, 100), 100);
+        assert_eq!((owner.lends(3_060, 1, loan, 900), owner.has(3_060)), (100, EACH - 100), "the same again");
+        borrower.takes(3_100, 7, loan, 100);
+        borrower.takes(3_100, 7, loan, 100);
+        borrower.takes(3_100, 7, loan + 1, 100);
+        assert_eq!((borrower.has(4_999), borrower.has(5_000)), (EACH + 100, EACH));
+        assert_eq!((owner.has(5_100), owner.has(5_131)), (EACH - 100, EACH));
+        let loan = borrower.asks(6_000, 7).expect("room");
+        assert_eq!(owner.lends(6_000, 1, loan, 5_000), EACH - KEPT);
+        borrower.takes(8_001, 7, loan, EACH - KEPT);
+        assert_eq!(borrower.has(8_001), EACH, "granted too late");
+        let loan = borrower.asks(9_000, 7).expect("room");
+        let units = owner.lends(9_000, 1, loan, 50);
+        borrower.takes(9_000, 7, loan, units);
+        assert_eq!(borrower.gives_back(9_100, 0), [(7, loan)]);
+        owner.returned(1, loan);
+        assert_eq!((borrower.has(9_100), owner.has(9_100)), (EACH, EACH));
+    }
+
+    #[derive(Clone)]
+    enum Word {
+        Ask(u64, u32),
+        Grant(u64, u32),
+        Back(u64),
+    }
+
+    /// Six members on clocks that differ in rate and place; words lost, doubled, late by seconds; members paused, ended
+    /// and begun anew. At each instant all units in use are at most those that there are.
+    fn worst(seed: u64) -> u32 {
+        const FLEET: usize = 6;
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let rates: Vec<f64> =
+            (0..FLEET).map(|_| rng.random_range(1.0 - DRIFT / 2.0..1.0 + DRIFT / 2.0)).collect();
+        let places: Vec<f64> = (0..FLEET).map(|_| rng.random_range(0.0..1e9)).collect();
+        let clock = |n: usize, now: u64| (places[n] + now as f64 * rates[n]) as u64;
+        let mut members: Vec<Loans> = (0..FLEET).map(|n| Loans::start(clock(n, 0), 1)).collect();
+        let (mut lives, mut paused) = ([1u64; FLEET], [0u64; FLEET]);
+        let mut words: Vec<(u64, usize, usize, Word)> = Vec::new();
+        let mut worst = 0;
+        for now in (0..30_000).step_by(20) {
+            let due: Vec<_> = words.iter().filter(|word| word.0 <= now).cloned().collect();
+            words.retain(|word| word.0 > now);
+            let mut say = |rng: &mut ChaCha8Rng, from: usize, to: usize, word: Word| {
+                if rng.random_bool(0.8) {
+                    let late = if rng.random_bool(0.1) { 3_000 } else { 60 };
+                    (0..1 + usize::from(rng.random_bool(0.2))).for_each(|_| {
+                        words.push((now + rng.random_range(1..late), from, to, word.clone()));
+                    });
+                }
+            };
+            for (_, from, to, word) in due {
+                let at = clock(to, now);
+                match word {
+                    // A word to one that stands still waits with it.
+                    word if paused[to] > now => say(&mut rng, from, to, word),
+                    Word::Ask(loan, most) => {
+                        let units = members[to].lends(at, from as u32, loan, most);
+                        if units > 0 {
+                            say(&mut rng, to, from, Word::Grant(loan, units));
+                        }
+                    }
+                    Word::Grant(loan, units) => members[to].takes(at, from as u32, loan, units),
+                    Word::Back(loan) => members[to].returned(from as u32, loan),
+                }
+            }
+            for n in 0..FLEET {
+                if paused[n] > now {
+                    continue;
+                }
+                let at = clock(n, now);
+                match rng.random_range(0..400) {
+                    0 => paused[n] = now + rng.random_range(100..5_000),
+                    1 => {
+                        lives[n] += 1;
+                        members[n] = Loans::start(at, lives[n]);
+                    }
+                    2..=60 => {
+                        let owner = (n + rng.random_range(1..FLEET)) % FLEET;
+                        if let Some(loan) = members[n].asks(at, owner as u32) {
+                            let most = rng.random_range(1..EACH);
+                            say(&mut rng, n, owner, Word::Ask(loan, most));
+                        }
+                    }
+                    61..=80 => {
+                        let stay = rng.random_range(0..EACH);
+                        for (owner, loan) in members[n].gives_back(at, stay) {
+                            say(&mut rng, n, owner as usize, Word::Back(loan));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            // What each would use if it looked now, the paused ones too.
+            let all: u32 = members.iter().enumerate().map(|(n, one)| one.has(clock(n, now))).sum();
+            assert!(all <= EACH * FLEET as u32, "seed {seed} at {now}: {all}");
+            worst = worst
+                .max(members.iter().enumerate().map(|(n, one)| one.has(clock(n, now))).max().unwrap_or(0));
+        }
+        worst
+    }
+
+    #[test]
+    fn no_words_pauses_clocks_or_starts_bring_more_into_use_than_there_is() {
+        let most: Vec<u32> = (0..200).map(worst).collect();
+        assert!(most.iter().filter(|&&most| most > 2 * EACH).count() > 100, "loans were really made");
+    }
+}
