Proxies speak where the configuration says so, and the rig loses, doubles and cuts their words

Change: the configuration's words (cluster, listen, advertise, peers, key_file; off without it) start one task that owns the socket; /api/fleet and flintwell fleet status show members, units and what was dropped. A limit begins at what the fleet was seen to take: means are not begun at nothing, a fall wipes the refusals that led to it, a fresh member counts with the half that it uses.

--- a/crates/flintwell-membership/src/seal.rs
+++ b/crates/flintwell-membership/src/seal.rs
@@ -1,7 +1,7 @@
 //! The seal around a datagram: version, cluster, sender, a window against replay, a keyed tag where there is a key.
 
 use hmac::{Hmac, Mac};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 
@@ -21,7 +21,7 @@
 }
 
 /// Datagrams that were dropped, by cause.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dropped {
     /// Cut, oversized, or not understood.
     pub malformed: u64,
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Proxies, nodes, discovery and clients put together, with a relay on every path from a proxy and to its staff.
 
 use crate::check::{Breach, Evidence, Repeats, judge};
+use crate::datagrams::{Box as PostBox, Post};
 use crate::process::Process;
 use crate::relay::{Relay, Way};
 use flintwell_settings::laid_over;
@@ -20,6 +21,7 @@
 
 const DISCOVERY: &str = "discovery"; // names the path to it
 const STAFF: &str = "staff"; // names the path from the staff to a proxy's second address
+const SEEDS: usize = 3; // proxies that each is told of at its start
 const GRACE: f64 = 300.0; // ms; from a drain's telling until nothing new goes there
 const FALL: f64 = 2.0; // s; within which a cold node falls
 
@@ -77,6 +79,8 @@
     /// Laid over the proxies' settings.
     pub settings: Value,
     pub fleet: String,
+    /// Proxies may speak to one another.
+    pub words: bool,
     /// Each proxy runs under a supervisor, which the staff speaks to in its place.
     pub supervised: bool,
 }
@@ -99,6 +103,7 @@
             },
             settings: json!({}),
             fleet: "rig".into(),
+            words: false,
             supervised: false,
         }
     }
@@ -111,6 +116,8 @@
     /// Where the staff reaches it: a path of its own.
     pub staff: SocketAddr,
     pub state: PathBuf,
+    /// Where it speaks to other proxies.
+    words: SocketAddr,
 }
 
 pub struct Fleet {
@@ -119,6 +126,8 @@
     pub proxies: Vec<Proxy>,
     shape: Shape,
     paths: BTreeMap<(usize, String), Relay>,
+    /// Before each proxy's address for words.
+    boxes: Vec<PostBox>,
     coming: Vec<JoinHandle<()>>,
     excused: Vec<(String, f64, f64)>,
 }
@@ -198,6 +207,15 @@
             nodes.push((id, world.serves(made, any, n as u64).await.map_err(failed)?));
         }
         let (mut paths, mut proxies) = (BTreeMap::new(), Vec::new());
+        let (mut boxes, mut words) = (Vec::new(), Vec::new());
+        for n in 0..shape.proxies {
+            words.push(own(7_000));
+            boxes.push(PostBox::start(words[n], n as u64).await.map_err(failed)?);
+        }
+        let peers: Vec<SocketAddr> = boxes.iter().take(SEEDS).map(|one| one.addr).collect();
+        let key = folder.join("key");
+        std::fs::create_dir_all(folder).map_err(failed)?;
+        std::fs::write(&key, "a key of the rig's own").map_err(failed)?;
         for n in 0..shape.proxies {
             let (name, mut view) = (format!("n{n}"), View::new());
             for (id, addr) in &nodes {
@@ -211,10 +229,14 @@
             let (listen, management) = (own(8_000), own(9_600));
             let home = folder.join(&name);
             let state = home.join("state");
-            let config = json!({"name": name, "listen": listen, "mgmt": management, "discovery": discovery.addr,
+            let mut config = json!({"name": name, "listen": listen, "mgmt": management, "discovery": discovery.addr,
                 "seed": format!("{:016x}", 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(n as u64 + 1)),
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
                 "rollout": {"fleet": shape.fleet, "state": state}, "settings": settings(&shape, n)});
+            if shape.words {
+                config["words"] = json!({"cluster": shape.fleet, "listen": words[n], "advertise": boxes[n].addr,
+                    "peers": peers, "key_file": key});
+            }
             paths.insert((n, DISCOVERY.into()), discovery);
             let write = |file: &str, text: String| -> Result<String, String> {
                 let file = home.join(file);
@@ -238,11 +260,11 @@
             };
             let staff = Relay::start(staff).await.map_err(failed)?;
             let zone = shape.zones[n % shape.zones.len()].clone();
-            proxies.push(Proxy { process, zone, listen, staff: staff.addr, state });
+            proxies.push(Proxy { process, zone, listen, staff: staff.addr, state, words: words[n] });
             paths.insert((n, STAFF.into()), staff);
         }
         let (book, coming, excused) = (Book::default(), Vec::new(), Vec::new());
-        Ok(Fleet { world, book, proxies, shape, paths, coming, excused })
+        Ok(Fleet { world, book, proxies, shape, paths, boxes, coming, excused })
     }
 
     /// Clients come to each proxy for so long.
@@ -291,6 +313,13 @@
         chosen.filter_map(|path| self.paths.get(&path)).map(|relay| relay.set(way)).count()
     }
 
+    /// Sets what becomes of datagrams from these proxies to those; how many pairs those are.
+    pub fn words(&self, from: &str, to: &str, way: Post) -> usize {
+        let (from, to) = (self.named(from), self.named(to));
+        let pairs = from.iter().flat_map(|&from| to.iter().map(move |&to| (from, to)));
+        pairs.map(|(from, to)| self.boxes[to].set(self.proxies[from].words, way)).count()
+    }
+
     /// Accesses at this proxy between these times may be lost: we did that.
     pub fn excuses(&mut self, n: usize, from_ms: f64, to_ms: f64) {
         self.excused.push((self.proxies[n].process.name.clone(), from_ms, to_ms));
--- a/crates/flintwell-rig/src/lib.rs
+++ b/crates/flintwell-rig/src/lib.rs
@@ -2,6 +2,8 @@
 //! checker of the rules that knows neither the module nor the stand-ins' own judgement.
 
 pub mod check;
+pub mod datagrams;
+pub mod days;
 pub mod fleet;
 pub mod plan;
 pub mod process;
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use flintwell_rig::fleet::{Fleet, Shape};
 use flintwell_rig::plan::{Outcome, Plan};
-use flintwell_rig::{record, rollouts};
+use flintwell_rig::{days, record, rollouts};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -54,6 +54,20 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Plays days of cuts, losses, pauses, kills and faults drawn by their seed, on proxies that speak to one another
+    Days {
+        #[arg(long, default_value_t = 9)]
+        proxies: usize,
+        /// How many
+        #[arg(long, default_value_t = 100)]
+        count: u64,
+        /// The first seed
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+        /// One JSON object a line, for each day
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// Kills the one who rolls out, and members, at random points, and looks whether the fleet is whole afterwards
     Kills {
         #[arg(long, default_value_t = 6)]
@@ -160,6 +174,29 @@
             }
             Ok(right == *count && lost == 0)
         }
+        Command::Days { proxies, count, from, out } => {
+            let zones = ["a", "b", "c"].map(str::to_owned).into();
+            let shape = Shape { proxies: *proxies, zones, words: true, ..Shape::default() };
+            let (mut kept, mut lines) = (0, String::new());
+            for seed in *from..from + count {
+                let below = folder.path().join(seed.to_string());
+                let day = days::play(seed, &shape, &arguments.program, &below).await?;
+                let whole = day.whole_s.map_or("never".into(), |whole| format!("{whole:.1} s"));
+                let (all, well) = (day.accesses, day.honoured);
+                println!(
+                    "{seed:4}: {all} accesses, {well} honoured, {} breaches, whole {whole}",
+                    day.breaches.len()
+                );
+                day.breaches.iter().take(3).for_each(|one| println!("    rule {}: {}", one.rule, one.what));
+                kept += u64::from(day.breaches.is_empty() && day.whole_s.is_some());
+                lines += &(serde_json::to_string(&day).map_err(|e| e.to_string())? + "\n");
+            }
+            println!("{kept} of {count} with all rules kept and the fleet whole afterwards");
+            if let Some(out) = out {
+                std::fs::write(out, lines).map_err(|e| format!("{}: {e}", out.display()))?;
+            }
+            Ok(kept == *count)
+        }
         Command::Kills { proxies, count } => {
             let mut shape = Shape { proxies: *proxies, ..Shape::default() };
             shape.zones = ["a", "b"].map(str::to_owned).into();
@@ -178,8 +215,10 @@
                 kept += u64::from(outcome.breaches.is_empty());
                 let all: usize = outcome.seconds.iter().map(|second| second.accesses).sum();
                 let well: usize = outcome.seconds.iter().map(|second| second.honoured).sum();
+                let fetched: usize = outcome.seconds.iter().map(|second| second.fetches).sum();
+                let refused: usize = outcome.seconds.iter().map(|second| second.refused).sum();
                 println!(
-                    "seed {}: {all} accesses, {well} honoured, {} breaches",
+                    "seed {}: {all} accesses, {well} honoured, {refused} refused for {fetched} fetched, {} breaches",
                     plan.seed,
                     outcome.breaches.len()
                 );
--- a/crates/flintwell-rig/src/plan.rs
+++ b/crates/flintwell-rig/src/plan.rs
@@ -1,6 +1,7 @@
 //! A run as a TOML file: the fleet, the seed, and what goes wrong when.
 
 use crate::check::Breach;
+use crate::datagrams::Post;
 use crate::fleet::{Fleet, Shape};
 use crate::record::{Line, timeline};
 use crate::relay::Way;
@@ -35,14 +36,40 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case", deny_unknown_fields)]
 pub enum What {
-    Path { from: String, to: String, way: Way },
-    Node { who: String, fault: Fault },
-    List { who: String, state: State },
-    Cold { who: String },
-    Kill { who: String },
-    Start { who: String },
-    Pause { who: String },
-    GoOn { who: String },
+    Path {
+        from: String,
+        to: String,
+        way: Way,
+    },
+    /// Of datagrams from one proxy to another.
+    Words {
+        from: String,
+        to: String,
+        way: Post,
+    },
+    Node {
+        who: String,
+        fault: Fault,
+    },
+    List {
+        who: String,
+        state: State,
+    },
+    Cold {
+        who: String,
+    },
+    Kill {
+        who: String,
+    },
+    Start {
+        who: String,
+    },
+    Pause {
+        who: String,
+    },
+    GoOn {
+        who: String,
+    },
 }
 
 /// Accesses within one second of the run.
@@ -100,7 +127,7 @@
     }
 }
 
-fn happens(fleet: &mut Fleet, what: &What) -> Result<(), String> {
+pub fn happens(fleet: &mut Fleet, what: &What) -> Result<(), String> {
     let now = fleet.world.now_ms();
     let nobody = |who: &str| format!("nobody is named {who:?}");
     let proxies = |fleet: &Fleet, who: &str| match fleet.named(who) {
@@ -117,6 +144,11 @@
                 return Err(format!("no path from {from:?} to {to:?}"));
             }
         }
+        What::Words { from, to, way } => {
+            if fleet.words(from, to, *way) == 0 {
+                return Err(format!("no words from {from:?} to {to:?}"));
+            }
+        }
         What::Node { who, fault } => nodes(fleet, who)?.iter().for_each(|id| {
             fleet.world.fault(id, *fault);
         }),
--- a/crates/flintwell-shared-limits/src/share.rs
+++ b/crates/flintwell-shared-limits/src/share.rs
@@ -16,9 +16,9 @@
 const TOLD: usize = 2; // members a round; each hears as many on the mean, whatever the fleet's size
 const OWN: f64 = 0.25; // weight of our own last round in our means; some rounds and some others make the rest
 const WANTED: f64 = 0.3; // weight of a round in what we want; loans for one round's chance would only cost words
-const SHORT: f64 = 0.25; // share refused; above it what is taken is all there is
-const AMPLE: f64 = 0.1; // share refused; under it there may be more
-const LIFT: f64 = 1.1; // times what is taken that may be sent; what is not tried is never found
+const SHORT: f64 = 0.5; // share refused; above it what is taken is all there is
+const AMPLE: f64 = 0.4; // share refused; under it there may be more
+const LIFT: f64 = 1.6; // times what is taken that may be sent: arrivals by chance meet a full origin, and fewer leave it idle
 const LASTS: u64 = 750; // ms that refusals have to last: a burst is no sign, and a rate needs some rounds
 const SEEN: u64 = 1_000; // ms after a fall, in which what it changed is heard of; falls in between would add up
 const FALL: f64 = 0.3; // factor on the worth at one fall at most, so that one bad second is not believed wholly
@@ -103,6 +103,7 @@
     loans: Loans,
     /// At the end of the last round.
     last: Counted,
+    rounds: u32,
     /// Our own, a second.
     wanted: f64,
     mean_taken: f64,
@@ -125,6 +126,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             loans: Loans::start(now, life),
             last: Counted::default(),
+            rounds: 0,
             wanted: 0.0,
             mean_taken: 0.0,
             mean_refused: 0.0,
@@ -163,8 +165,11 @@
         let of = |now: u64, last: u64| now.saturating_sub(last) as f64 * a_second;
         let last = std::mem::replace(&mut self.last, counted);
         self.wanted += WANTED * (of(counted.wanted, last.wanted) - self.wanted);
-        self.mean_taken += OWN * (of(counted.taken, last.taken) - self.mean_taken);
-        self.mean_refused += OWN * (of(counted.refused, last.refused) - self.mean_refused);
+        // Danger: means that begin at nothing make the first limit a fraction of what is taken.
+        let weight = OWN.max(1.0 / f64::from(self.rounds + 1));
+        self.rounds = self.rounds.saturating_add(1);
+        self.mean_taken += weight * (of(counted.taken, last.taken) - self.mean_taken);
+        self.mean_refused += weight * (of(counted.refused, last.refused) - self.mean_refused);
         self.spare.retain(|number, told| now < told.1 + HEARD && others.contains(number));
         self.learns(now);
         let mut words = self.borrows(now, others);
@@ -188,9 +193,12 @@
         }
         if self.short_since.is_some_and(|since| now >= since + LASTS) && now >= self.held_until {
             // Danger: with nothing taken at all a limit of nothing would never be left again.
-            let there = (taken * LIFT).max(LEAST / self.fleet) / f64::from(EACH);
+            let there = (taken * LIFT).max(LEAST / self.fleet) / f64::from(self.loans.even(now));
             self.worth = Some(self.worth.map_or(there, |worth| there.clamp(worth * FALL, worth)));
             self.held_until = now + SEEN;
+            // Danger: what was refused before this fall would be held against the limit that follows, and with hardly
+            // anything sent any more it would be for ever.
+            self.mean_refused = taken * AMPLE;
         } else if let Some(worth) = self.worth.filter(|_| share < AMPLE) {
             let rise = if share < CLEAR { RISE_CLEAR } else { RISE };
             let asked = self.need() as f64 / f64::from(EACH);
--- a/crates/flintwell/src/accesses/desk.rs
+++ b/crates/flintwell/src/accesses/desk.rs
@@ -138,6 +138,13 @@
         self.module(|module| module.change(now, settings), |_| ());
     }
 
+    /// Fetches a second that the fleet grants us from now on; how many accesses were to be fetched so far.
+    pub fn granted(&self, rate: Option<f64>) -> u64 {
+        let (now, mut wanted) = (self.clock.now(), 0);
+        self.module(|module| wanted = module.granted(now, rate), |_| ());
+        wanted
+    }
+
     pub fn is_origin(&self, node: &NodeId) -> bool {
         self.module.borrow().is_origin(node)
     }
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod discovery;
 pub mod roster;
+pub mod words;
--- a/crates/flintwell/src/main.rs
+++ b/crates/flintwell/src/main.rs
@@ -38,6 +38,11 @@
         #[command(subcommand)]
         command: flintwell_conduct::Command,
     },
+    /// Shows what a proxy knows of its fleet
+    Fleet {
+        #[command(subcommand)]
+        command: staff::fleet_status::Command,
+    },
     /// Holds the clients' socket and runs versions of the program at it
     Supervise {
         /// A TOML file
@@ -53,6 +58,7 @@
         Command::Serve { config } => config::read(&config).and_then(|read| serve::serve(read, config)),
         Command::Check { config } => config::read(&config).map(|config| println!("{config}")),
         Command::Supervise { config } => flintwell_supervise::supervise(&config),
+        Command::Fleet { command } => staff::fleet_status::run(&command),
         Command::Rollout { command } => return rollout(command),
         Command::Version => {
             println!("flintwell {}", env!("CARGO_PKG_VERSION"));
--- a/crates/flintwell/src/process/config.rs
+++ b/crates/flintwell/src/process/config.rs
@@ -14,6 +14,7 @@
 const MEGABYTE: f64 = 1_048_576.0; // bytes
 const BODIES: f64 = 0.25; // of the memory, for bodies of accesses
 const ANSWERS: f64 = 0.375; // of the memory, for answers read ahead; the rest for connections and ourselves
+const KEY_LEAST: usize = 16; // bytes; a shorter one can be guessed
 const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
 
 #[derive(Deserialize)]
@@ -34,6 +35,30 @@
     pub state: PathBuf,
 }
 
+/// Words with the other proxies.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WordsTold {
+    cluster: String,
+    listen: SocketAddr,
+    /// Where others reach that; the same address where it is not told.
+    #[serde(default)]
+    advertise: Option<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    /// Signs each datagram; without one they are not signed.
+    #[serde(default)]
+    key_file: Option<PathBuf>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Words {
+    pub cluster: String,
+    pub listen: SocketAddr,
+    pub advertise: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+    pub key: Vec<u8>,
+}
+
 #[derive(Deserialize)]
 struct File {
     #[serde(default)]
@@ -52,6 +77,9 @@
     /// How settings are changed while we run; not at all without it.
     #[serde(default)]
     rollout: Option<Rollout>,
+    /// Whom to speak with; nobody without it.
+    #[serde(default)]
+    words: Option<WordsTold>,
     /// What other settings to watch with, laid over the ones in force.
     #[serde(default)]
     watch_with: Option<Value>,
@@ -73,6 +101,7 @@
     pub watch_with: Option<Settings>,
     pub network: Network,
     pub rollout: Option<Rollout>,
+    pub words: Option<Words>,
     /// The settings as they stand in the file.
     pub told: Value,
 }
@@ -101,6 +130,7 @@
             return Err("rollout: settings are changed at the second address, and mgmt gives none".into());
         }
     }
+    let words = file.words.map(|told| words(told, &settings, &file.settings)).transpose()?;
     let watch_with = file.watch_with.map(|other| {
         let both = laid_over(file.settings.clone(), other);
         check(&both).and_then(|()| decode(&both)).map_err(|e| format!("watch_with: {e}"))
@@ -119,10 +149,40 @@
         settings,
         watch_with: watch_with.transpose()?,
         rollout: file.rollout,
+        words,
         told: file.settings,
     })
 }
 
+fn words(told: WordsTold, settings: &Settings, file: &Value) -> Result<Words, String> {
+    let WordsTold { cluster, listen, advertise, peers, key_file } = told;
+    let advertise = advertise.unwrap_or(listen);
+    if file["limits"]["peer_messages"] == Value::Bool(false) {
+        return Err("words: limits.peer_messages bars words between proxies".into());
+    }
+    if cluster.is_empty() || listen.port() == 0 || advertise.ip().is_unspecified() {
+        return Err("words: cluster needs a name, listen a port, and others an address to reach".into());
+    }
+    if !peers.iter().any(|peer| *peer != advertise) {
+        return Err("words: peers names nobody but this proxy".into());
+    }
+    if settings.index >= settings.fleet_size {
+        let (index, size) = (settings.index, settings.fleet_size);
+        return Err(format!("words: index {index} is not under fleet_size {size}"));
+    }
+    let key = match key_file {
+        Some(file) => {
+            let key = std::fs::read(&file).map_err(|e| format!("words: key_file {}: {e}", file.display()))?;
+            if key.len() < KEY_LEAST {
+                return Err(format!("words: key_file {} holds under {KEY_LEAST} bytes", file.display()));
+            }
+            key
+        }
+        None => Vec::new(),
+    };
+    Ok(Words { cluster, listen, advertise, peers, key })
+}
+
 /// The second address as the environment tells it, which is this process's own.
 fn management_told() -> Result<Option<SocketAddr>, String> {
     let told = std::env::var(MANAGEMENT).ok().filter(|told| !told.is_empty());
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -7,6 +7,7 @@
 use crate::clients::body::Budget;
 use crate::fleet::discovery::Discovery;
 use crate::fleet::roster::Roster;
+use crate::fleet::words::Words;
 use crate::nodes::handoff::HandOffs;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, span};
@@ -100,6 +101,7 @@
     let pool = Pool::new(connections, config.network.dial_within, config.network.idle_most);
     let network = Live::new(config.network);
     let list_wanted = Rc::new(Notify::new());
+    let place = (config.settings.index, config.settings.fleet_size);
     let asked = config.settings.list_on_request.then(|| list_wanted.clone());
     let origin_kind = config.settings.origin_kind;
     let (clock, seed) = (Clock::start(), config.seed);
@@ -160,9 +162,22 @@
     if let Some(rollout) = rollout.clone() {
         spawn_local(lasting("rollout", async move || rollout.follow().await));
     }
+    let words = config.words.take().map(|words| {
+        let (desk, counts) = (desk.clone(), counts.clone());
+        Rc::new(Words::new(words, config.name.clone(), place, seed, desk, counts))
+    });
+    if let Some(words) = words.clone() {
+        spawn_local(lasting("words", async move || words.speak().await));
+    }
+    if let (Some(words), shutdown) = (words.clone(), shutdown.clone()) {
+        spawn_local(async move {
+            shutdown.door_closed().await;
+            words.leave();
+        });
+    }
     if let Some(listener) = management {
         let (counts, desk, shutdown) = (counts.clone(), desk.clone(), shutdown.clone());
-        let office = Rc::new(Office { counts, desk, roster, shutdown, rollout });
+        let office = Rc::new(Office { counts, desk, roster, shutdown, rollout, words });
         let answering = async move || management::answer(&listener, &office).await;
         spawn_local(lasting("second address", answering));
     }
--- /dev/null
+++ b/crates/flintwell/src/staff/fleet_status.rs
@@ -0,0 +1,72 @@
+//! `flintwell fleet status`: what one proxy knows of its fleet, for people and as JSON.
+
+use crate::fleet::words::Fleet;
+use clap::Subcommand;
+use hyper::{Method, StatusCode};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const WITHIN: Duration = Duration::from_secs(5); // for an answer, however busy the proxy
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// What a proxy knows of the others, and what it may ask of the origin
+    Status {
+        /// Its second address
+        #[arg(long)]
+        at: SocketAddr,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+pub fn run(command: &Command) -> Result<(), String> {
+    let Command::Status { at, json } = command;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    let call = flintwell_call::call(*at, Method::GET, "/api/fleet", Default::default(), WITHIN);
+    let (status, text) = runtime.block_on(call).map_err(|why| format!("{at}: {why}"))?;
+    if status != StatusCode::OK {
+        return Err(format!("{at}: its configuration has no words with other proxies ({status})"));
+    }
+    if *json {
+        print!("{}", String::from_utf8_lossy(&text));
+        return Ok(());
+    }
+    let fleet: Fleet = serde_json::from_slice(&text).map_err(|e| format!("{at}: {e}"))?;
+    print!("{}", shown(&fleet));
+    Ok(())
+}
+
+fn shown(fleet: &Fleet) -> String {
+    let Fleet { name, number, members, share, dropped, .. } = fleet;
+    let rate = share.rate.map_or("no limit known".into(), |rate| format!("{rate:.1} fetches a second"));
+    let mut text = format!(
+        "{name}, number {number}: {rate}, {} units, {} of them borrowed\n",
+        share.units, share.borrowed
+    );
+    text += &format!(
+        "a member and second, over the fleet: {:.1} fetched, {:.1} refused\n",
+        share.taken, share.refused
+    );
+    for member in members {
+        text += &format!("  {:5} {:22} {}\n", member.number, member.addr, member.state);
+    }
+    let count = |what: &str, count: u64| if count > 0 { format!(" {what} {count}") } else { String::new() };
+    let causes = [
+        count("malformed", dropped.malformed),
+        count("of another version", dropped.other_version),
+        count("of another cluster", dropped.other_cluster),
+        count("unsigned", dropped.unsigned),
+        count("replayed", dropped.replayed),
+        count("over a sender's rate", dropped.flooded),
+        count("from nobody known", dropped.unknown),
+    ];
+    text + &format!(
+        "sent {} datagrams, {} bytes; dropped{}\n",
+        fleet.datagrams_sent,
+        fleet.bytes_sent,
+        Some(causes.concat()).filter(|causes| !causes.is_empty()).unwrap_or(" none".into())
+    )
+}
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -2,6 +2,7 @@
 
 use crate::accesses::desk::Desk;
 use crate::fleet::roster::{Refused, Roster};
+use crate::fleet::words::Words;
 use crate::process::shutdown::Shutdown;
 use crate::say;
 use crate::staff::counts::Counts;
@@ -38,6 +39,8 @@
     pub shutdown: Shutdown,
     /// Changes of settings, where the configuration says how.
     pub rollout: Option<Rc<Rollout>>,
+    /// Words with other proxies, where the configuration names some.
+    pub words: Option<Rc<Words>>,
 }
 
 #[derive(Deserialize)]
@@ -48,6 +51,7 @@
 /// An answer: its status and its JSON.
 type Said = (StatusCode, String);
 
+const FLEET: &str = "/api/fleet"; // asks what we know of the other proxies
 const ROLLOUT: &str = "/api/rollout/"; // begins the calls on changes of settings
 
 /// Danger: callers that connect and finish no call would keep the others out. So the oldest makes room.
@@ -106,6 +110,10 @@
     if let Some(rollout) = office.rollout.as_deref().filter(|_| request.uri().path().starts_with(ROLLOUT)) {
         return rolls(request, rollout).await;
     }
+    if let Some(words) = office.words.as_deref().filter(|_| request.uri().path() == FLEET) {
+        let text = serde_json::to_string(&words.fleet()).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
+        return Ok((StatusCode::OK, text));
+    }
     let wanted = match request.uri().path() {
         "/api/ready" | "/api/telemetry" => Method::GET,
         "/api/exclude" | "/api/include" => Method::POST,
