A few of a fleet try what fell silent, and a fleet that begins as two becomes one

Cause: each proxy tries a silent node by itself, in spells: 28 hand-offs into a silent zone by each of 48 in ten seconds, and the sum grows with the fleet. Six real processes that started at once began as two groups, each of which knew some and never asked the seeds again.

Change: flintwell-shared-probes: each tells first-hand what is silent to it; a node that three others found silent too is tried by three members, chosen by a draw alike at all; the others leave it alone for 1.5 s at a time, and try it by one access when one had an answer. Who has not found a node silent itself acts on no hint. The module takes the time of the next try (tried_by_others); its count of refusals paid for went to the origin's state, drawing the same lots. Seeds that are not known as there are asked every two seconds. The rig ends its processes when a signal ends it.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -270,6 +270,16 @@
         self.origin.wanted
     }
 
+    /// Caches that fell silent to us and were not heard since.
+    pub fn silent(&self) -> Vec<NodeId> {
+        self.nodes.silent(self.settings.origin_kind)
+    }
+
+    /// Others found it silent and try it until then, or, if that is past, had an answer. Nothing if it is not to us.
+    pub fn tried_by_others(&mut self, node: &NodeId, until: Micros) {
+        self.nodes.put_off(node, until);
+    }
+
     /// How many listed caches it avoids now, by the list's word or by its own; nothing changes by asking.
     pub fn avoided(&self, now: Micros) -> usize {
         (0..self.nodes.len()).filter(|&n| !self.of_origin(n) && self.nodes[n].avoided(now)).count()
@@ -808,17 +818,9 @@
         // Danger: a refusal takes no time, so a limit on what is out at once holds back none that is refused:
         // twelve with room for six asked thirteen times for each that was taken, and more of them ask more.
         match outcome.ending {
-            Ending::Honoured => {
-                self.origin.earned = (self.origin.earned + EARNS).min(EARNED_MOST);
-                self.origin.probes = 0;
-            }
+            Ending::Honoured => self.origin.pays(EARNS, EARNED_MOST),
             Ending::Full => {
-                self.origin.earned = (self.origin.earned - 1.0).max(-EARNS);
-                let spell = self.origin.times.mean * f64::from(1u32 << self.origin.probes);
-                if self.origin.earned <= 0.0 {
-                    self.origin.after = now + (spell * self.rng.random_range(0.5..1.5)) as Micros;
-                    self.origin.probes = (self.origin.probes + 1).min(PROBE_DOUBLINGS);
-                }
+                self.origin.refuses(now, -EARNS, PROBE_DOUBLINGS, || self.rng.random_range(0.5..1.5))
             }
             _ => {}
         }
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -329,6 +329,17 @@
         });
         &mut self.all[n]
     }
+    /// Those not of this kind that fell silent and were not heard since.
+    pub fn silent(&self, but: Option<u32>) -> Vec<NodeId> {
+        let silent = self.all.iter().filter(|node| node.strikes > 0 && Some(node.entry.kind) != but);
+        silent.map(|node| node.entry.node.clone()).collect()
+    }
+    /// The next try of one that is silent comes then.
+    pub fn put_off(&mut self, id: &NodeId, until: Micros) {
+        if let Some(node) = self.find(id).map(|n| &mut self.all[n]).filter(|node| node.strikes > 0) {
+            node.skip_until = until;
+        }
+    }
 }
 
 impl Deref for Nodes {
@@ -457,6 +468,18 @@
             if self.earned > 0.0 { self.most } else { self.most.min(1.0 / f64::from(1u32 << self.probes)) };
         if self.apart > 0 { own.min(self.times.mean / self.apart as f64) } else { own }
     }
+    /// An answer pays for some refusals.
+    pub fn pays(&mut self, earns: f64, most: f64) {
+        (self.earned, self.probes) = ((self.earned + earns).min(most), 0);
+    }
+    /// A refusal takes one; with none left the next is put off, for longer each time.
+    pub fn refuses(&mut self, now: Micros, least: f64, doublings: u32, lot: impl FnOnce() -> f64) {
+        self.earned = (self.earned - 1.0).max(least);
+        if self.earned <= 0.0 {
+            self.after = now + (self.times.mean * f64::from(1u32 << self.probes) * lot()) as Micros;
+            self.probes = (self.probes + 1).min(doublings);
+        }
+    }
     /// Its answers take longer than at its best by this factor, and than is bearable.
     pub fn slow(&self, factor: f64) -> bool {
         self.times.mean > (factor * self.best).max(self.bearable)
--- a/crates/flintwell-emulator/src/node.rs
+++ b/crates/flintwell-emulator/src/node.rs
@@ -9,12 +9,22 @@
     /// When each worker is free.
     free: Vec<i64>,
     pub waiting: usize,
+    /// Takes all and says nothing.
+    pub silent: bool,
     pub values: HashSet<u64>,
 }
 
 impl Node {
     pub fn new(workers: usize, queue: usize, time: i64) -> Self {
-        Node { workers, queue, time, free: vec![0; workers], waiting: 0, values: HashSet::new() }
+        Node {
+            workers,
+            queue,
+            time,
+            free: vec![0; workers],
+            waiting: 0,
+            silent: false,
+            values: HashSet::new(),
+        }
     }
 
     /// When it will be done with one that comes now; none where it is full.
--- a/crates/flintwell-emulator/src/plan.rs
+++ b/crates/flintwell-emulator/src/plan.rs
@@ -68,6 +68,11 @@
         below: usize,
     },
     Heal,
+    /// Cache nodes of this zone take accesses and say nothing, or answer again.
+    Silent {
+        zone: u32,
+        on: bool,
+    },
     /// Accesses a second at each proxy from now on; 0 at those at or above the number.
     Load {
         rate: f64,
@@ -91,6 +96,8 @@
     /// By the origin.
     pub fetched: u64,
     pub refused: u64,
+    /// Hand-offs to nodes that say nothing.
+    pub unheard: u64,
     pub datagrams: u64,
     pub bytes: u64,
 }
@@ -118,6 +125,7 @@
             sum.broken_off += one.broken_off;
             sum.fetched += one.fetched;
             sum.refused += one.refused;
+            sum.unheard += one.unheard;
             sum.datagrams += one.datagrams;
             sum.bytes += one.bytes;
         }
--- a/crates/flintwell-emulator/src/run.rs
+++ b/crates/flintwell-emulator/src/run.rs
@@ -10,6 +10,7 @@
 use flintwell_membership::member::{self, Id, Member, Wire};
 use flintwell_shared_limits::loans::EACH;
 use flintwell_shared_limits::share::{Counted, ROUND, Share, Word};
+use flintwell_shared_probes::{Hint, Probes, Word as Probed};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp, Zipf};
@@ -89,7 +90,7 @@
     rate: f64,
     accesses: HashMap<AccessId, Access>,
     counted: Counted,
-    speaks: Option<(Member, Share)>,
+    speaks: Option<(Member, Share, Probes)>,
     lies: bool,
 }
 
@@ -261,7 +262,8 @@
                 fleet: self.shape.proxies as u32,
                 seed,
             };
-            (Member::start(ms, settings), Share::start(ms, life, self.shape.proxies as u32, seed))
+            let share = Share::start(ms, life, self.shape.proxies as u32, seed);
+            (Member::start(ms, settings), share, Probes::new(n as u32, seed))
         });
         if self.shape.words {
             self.at(self.now, Event::Ticks { proxy: n, life });
@@ -334,7 +336,7 @@
             Event::Datagram { to, bytes } => {
                 let ms = (self.now / 1_000) as u64;
                 let mut mail = Mail::default();
-                if let Some((member, _)) = &mut self.proxies[to].speaks {
+                if let Some((member, ..)) = &mut self.proxies[to].speaks {
                     member.receives(ms, &bytes, &mut mail);
                 }
                 self.posts(to, mail);
@@ -346,7 +348,7 @@
                 }
                 let mut mail = Mail::default();
                 let mut due = ms + 1;
-                if let Some((member, _)) = &mut self.proxies[proxy].speaks {
+                if let Some((member, ..)) = &mut self.proxies[proxy].speaks {
                     member.tick(ms, &mut mail);
                     due = member.due().max(ms + 1);
                 }
@@ -456,6 +458,10 @@
         let now = self.now;
         let Some(access) = self.proxies[proxy].accesses.get(&id) else { return };
         let (key, missed) = (access.key, access.missed.clone());
+        if self.nodes[node].1.silent {
+            self.second(now).unheard += 1;
+            return;
+        }
         let (at, ending) = match self.nodes[node].1.takes(now) {
             None => {
                 self.second(now).refused += u64::from(origin);
@@ -521,10 +527,25 @@
         let now = self.now;
         let mut mail = Mail::default();
         let proxy = &mut self.proxies[n];
-        if let Some((member, share)) = &mut proxy.speaks {
+        if let Some((member, share, probes)) = &mut proxy.speaks {
             proxy.counted.wanted = proxy.policy.granted(now, share.rate(ms));
             let others = member.others();
             let numbers: Vec<u32> = others.iter().map(|other| other.number).collect();
+            let silent = proxy.policy.silent();
+            let names: Vec<&str> = silent.iter().map(|node| &**node).collect();
+            let (hints, probed) = probes.round(ms, &names, &numbers);
+            for (node, hint) in hints {
+                let until = match hint {
+                    Hint::Leave(ms) => now + ms as Micros * 1_000,
+                    Hint::Try => now,
+                };
+                proxy.policy.tried_by_others(&silent[node], until);
+            }
+            for (to, word) in probed {
+                if let Some(to) = others.iter().find(|other| other.number == to) {
+                    member.tells(to, &word.encode(), &mut mail);
+                }
+            }
             for (to, mut word) in share.round(ms, proxy.counted, &numbers) {
                 if let Word::Told { taken, refused, worth, .. } = &mut word
                     && proxy.lies
@@ -545,7 +566,7 @@
     /// Units in use over the fleet, against those there are.
     fn weighs(&mut self) {
         let ms = (self.now / 1_000) as u64;
-        let in_use = |proxy: &Proxy| proxy.speaks.as_ref().map_or(0, |(_, share)| share.units(ms));
+        let in_use = |proxy: &Proxy| proxy.speaks.as_ref().map_or(0, |(_, share, _)| share.units(ms));
         let all: u32 = self.proxies.iter().map(in_use).sum();
         self.outcome.excess = self.outcome.excess.max(all.saturating_sub(EACH * self.proxies.len() as u32));
     }
@@ -554,8 +575,12 @@
     fn posts(&mut self, n: usize, mail: Mail) {
         let ms = (self.now / 1_000) as u64;
         let mut answers = Mail::default();
-        if let Some((member, share)) = &mut self.proxies[n].speaks {
+        if let Some((member, share, probes)) = &mut self.proxies[n].speaks {
             for (from, bytes) in mail.heard {
+                if let Some(word) = Probed::decode(&bytes) {
+                    probes.hears(ms, from.number, &word);
+                    continue;
+                }
                 let answer = Word::decode(&bytes).and_then(|word| share.hears(ms, from.number, word));
                 answer.into_iter().for_each(|word| member.tells(&from, &word.encode(), &mut answers));
             }
@@ -591,6 +616,11 @@
             }
             Fault::Cut { below } => self.cut = Some(below),
             Fault::Heal => self.cut = None,
+            Fault::Silent { zone, on } => {
+                let (zones, caches) = (self.shape.zones as usize, self.nodes.len() - 1);
+                let within = |place: &usize| place % zones == zone as usize;
+                (0..caches).filter(within).for_each(|place| self.nodes[place].1.silent = on);
+            }
             Fault::Load { rate, below } => {
                 for (n, proxy) in self.proxies.iter_mut().enumerate() {
                     proxy.rate = if n < below { rate } else { 0.0 };
--- a/crates/flintwell-membership/src/member.rs
+++ b/crates/flintwell-membership/src/member.rs
@@ -19,7 +19,7 @@
 const TOLD: usize = 2; // of those
 const AGAIN: Duration = Duration::from_secs(5); // between words to one taken as gone: cuts heal
 const ANNOUNCES: Duration = Duration::from_secs(3); // between askings of one other for all it knows
-const SEEDS: u64 = 2_000; // ms between words to a seed while nobody is known
+const SEEDS: u64 = 2_000; // ms between words to a seed that is not known as there
 const SENT: u8 = 8; // times that a piece of news is told on
 const LATE: u64 = 250; // ms past its time at which we have stood still
 
@@ -172,9 +172,13 @@
         }
         if now >= self.seeds_due {
             self.seeds_due = now + SEEDS;
-            if self.protocol.num_members() == 0 && !self.seeds.is_empty() {
-                self.next_seed = (self.next_seed + 1) % self.seeds.len();
-                let addr = self.seeds[self.next_seed];
+            // Danger: a fleet that starts at once may begin as two that each know some, and never hear of one another.
+            let known: Vec<SocketAddr> = self.protocol.iter_members().map(|one| one.id().addr).collect();
+            let unknown: Vec<SocketAddr> =
+                self.seeds.iter().filter(|seed| !known.contains(seed)).copied().collect();
+            if !unknown.is_empty() {
+                self.next_seed = (self.next_seed + 1) % unknown.len();
+                let addr = unknown[self.next_seed];
                 // Its number and life are not known, and not needed to ask it.
                 let seed = Id { number: u32::MAX, addr, life: 0 };
                 self.does(now, wire, |protocol, asked| drop(protocol.announce(seed, asked)));
--- a/crates/flintwell-membership/tests/fleet.rs
+++ b/crates/flintwell-membership/tests/fleet.rs
@@ -228,3 +228,15 @@
     }
     assert!(rates[2].0 < rates[0].0 * 1.3 && rates[2].0 < 30.0, "{rates:?}");
 }
+
+/// Two that each know some from their start: nobody but the seeds can bring them together.
+#[test]
+fn a_fleet_that_begins_as_two_becomes_one() {
+    let mut net = Net::new(4, 6, 0.0);
+    net.cut = Box::new(|from, to| (from == 1 || from == 5) != (to == 1 || to == 5));
+    net.runs(1_500);
+    net.cut = Box::new(|_, _| false);
+    assert!(net.known().iter().any(|&known| known > 0), "some know some: {:?}", net.known());
+    let took = net.until_whole(20_000);
+    assert!(took < 10_000, "{took} ms, {:?}", net.known());
+}
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
 #[derive(Parser)]
 #[command(version, about = "Several processes of flintwell on loopback, with faults between them")]
@@ -89,7 +90,7 @@
     let arguments = Arguments::parse();
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     let done = match runtime {
-        Ok(runtime) => runtime.block_on(run(&arguments)),
+        Ok(runtime) => runtime.block_on(ended_or(run(&arguments))),
         Err(error) => Err(error.to_string()),
     };
     match done {
@@ -102,6 +103,15 @@
     }
 }
 
+/// Danger: ended by a signal we would leave our processes behind; dropped, a fleet ends them by their ids.
+async fn ended_or(run: impl Future<Output = Result<bool, String>>) -> Result<bool, String> {
+    let mut ends = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    tokio::select! {
+        done = run => done,
+        _ = ends.recv() => Err("ended by a signal".into()),
+    }
+}
+
 /// Whether all rules were kept.
 async fn run(arguments: &Arguments) -> Result<bool, String> {
     let folder = tempfile::tempdir().map_err(|e| format!("a folder for files: {e}"))?;
--- a/crates/flintwell/src/accesses/desk.rs
+++ b/crates/flintwell/src/accesses/desk.rs
@@ -145,6 +145,17 @@
         wanted
     }
 
+    /// Caches that fell silent to us.
+    pub fn silent(&self) -> Vec<NodeId> {
+        self.module.borrow().silent()
+    }
+
+    /// Others try this node, for so long from now.
+    pub fn tried_by_others(&self, node: &NodeId, time: Micros) {
+        let until = self.clock.now() + time;
+        self.module(|module| module.tried_by_others(node, until), |_| ());
+    }
+
     pub fn is_origin(&self, node: &NodeId) -> bool {
         self.module.borrow().is_origin(node)
     }
--- a/crates/flintwell/src/fleet/words.rs
+++ b/crates/flintwell/src/fleet/words.rs
@@ -10,6 +10,7 @@
 use flintwell_membership::member::{self, Id, Member, Settings, Wire};
 use flintwell_membership::seal::Dropped;
 use flintwell_shared_limits::share::{self, Counted, ROUND, Share, Word};
+use flintwell_shared_probes::{self as probes, Hint, Probes};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -32,6 +33,9 @@
     /// The others, as far as they were heard of.
     pub members: Vec<member::Standing>,
     pub share: share::Standing,
+    /// Caches silent to us, and who tries them.
+    #[serde(default)]
+    pub silent: Vec<probes::Standing>,
     pub dropped: Dropped,
     /// Members that were taken as gone since our start.
     pub taken_as_gone: u64,
@@ -45,6 +49,7 @@
     clock: Clock,
     member: RefCell<Member>,
     share: RefCell<Share>,
+    probes: RefCell<Probes>,
     desk: Rc<Desk>,
     counts: Rc<Counts>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -90,6 +95,7 @@
             member: RefCell::new(Member::start(now, settings)),
             next_round: Cell::new(now + share.first_round()),
             share: RefCell::new(share),
+            probes: RefCell::new(Probes::new(number, seed)),
             desk,
             counts,
             socket: RefCell::default(),
@@ -164,15 +170,31 @@
         let counted = Counted { wanted, taken: fetches.saturating_sub(refused), refused };
         let others = member.others();
         let numbers: Vec<u32> = others.iter().map(|other| other.number).collect();
-        for (to, word) in share.round(now, counted, &numbers) {
+        let silent = self.desk.silent();
+        let names: Vec<&str> = silent.iter().map(|node| &**node).collect();
+        let (hints, probed) = self.probes.borrow_mut().round(now, &names, &numbers);
+        for (node, hint) in hints {
+            let time = match hint {
+                Hint::Leave(ms) => ms as Micros * 1_000,
+                Hint::Try => 0,
+            };
+            self.desk.tried_by_others(&silent[node], time);
+        }
+        let probed = probed.into_iter().map(|(to, word)| (to, word.encode()));
+        let shared = share.round(now, counted, &numbers).into_iter().map(|(to, word)| (to, word.encode()));
+        for (to, word) in shared.chain(probed) {
             if let Some(to) = others.iter().find(|other| other.number == to) {
-                member.tells(to, &word.encode(), wire);
+                member.tells(to, &word, wire);
             }
         }
     }
 
     fn answers(&self, now: u64, wire: &mut Sends) {
         for (from, bytes) in std::mem::take(&mut wire.heard) {
+            if let Some(word) = probes::Word::decode(&bytes) {
+                self.probes.borrow_mut().hears(now, from.number, &word);
+                continue;
+            }
             let answer =
                 Word::decode(&bytes).and_then(|word| self.share.borrow_mut().hears(now, from.number, word));
             if let Some(word) = answer {
@@ -192,11 +214,15 @@
 
     pub fn fleet(&self) -> Fleet {
         let member = self.member.borrow();
+        let silent = self.desk.silent();
+        let names: Vec<&str> = silent.iter().map(|node| &**node).collect();
+        let others: Vec<u32> = member.others().iter().map(|other| other.number).collect();
         Fleet {
             name: self.name.clone(),
             number: member.id().number,
             members: member.standings(),
             share: self.share.borrow().standing(self.now()),
+            silent: self.probes.borrow().standing(&names, &others),
             dropped: member.dropped(),
             taken_as_gone: member.downs,
             datagrams_sent: member.sent,
--- a/crates/flintwell/src/staff/fleet_status.rs
+++ b/crates/flintwell/src/staff/fleet_status.rs
@@ -53,6 +53,10 @@
     for member in members {
         text += &format!("  {:5} {:22} {}\n", member.number, member.addr, member.state);
     }
+    for node in &fleet.silent {
+        let who = if node.prober { "tried by us" } else { "tried by others" };
+        text += &format!("  {} is silent, to {} others too; {who}\n", node.node, node.witnesses);
+    }
     let count = |what: &str, count: u64| if count > 0 { format!(" {what} {count}") } else { String::new() };
     let causes = [
         count("malformed", dropped.malformed),
--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -8,3 +8,4 @@
 mod streams;
 mod supervise;
 mod support;
+mod words;
