A pause that would accuse is shown to: one stopped while it suspects, and wakes to the time first

In the test whoever woke read what waited before it looked at the time, and suspected nobody when it was stopped.

Change: the test's members look at the time first, and the one that is stopped suspects another.

--- a/crates/flintwell-membership/tests/fleet.rs
+++ b/crates/flintwell-membership/tests/fleet.rs
@@ -89,6 +89,16 @@
         while self.now < end {
             self.now += 20;
             let mut flights = Vec::new();
+            // One that wakes looks at the time before it reads what waits: the worse order.
+            for n in 0..self.members.len() {
+                let paused = self.paused.get(&n).is_some_and(|&until| self.now < until);
+                let mut out = Out { from: n, flights: &mut flights, heard: &mut self.heard };
+                if let Some(member) =
+                    self.members[n].as_mut().filter(|member| !paused && member.due() <= self.now)
+                {
+                    member.tick(self.now, &mut out);
+                }
+            }
             while let Some((&key, _)) = self.under_way.first_key_value().filter(|(key, _)| key.0 <= self.now)
             {
                 let Some((_, to, datagram)) = self.under_way.remove(&key) else { break };
@@ -103,15 +113,6 @@
                     member.receives(self.now, &datagram, &mut out);
                 }
             }
-            for n in 0..self.members.len() {
-                let paused = self.paused.get(&n).is_some_and(|&until| self.now < until);
-                let mut out = Out { from: n, flights: &mut flights, heard: &mut self.heard };
-                if let Some(member) =
-                    self.members[n].as_mut().filter(|member| !paused && member.due() <= self.now)
-                {
-                    member.tick(self.now, &mut out);
-                }
-            }
             for (from, to, datagram) in flights {
                 if (self.cut)(from, number(to)) || self.rng.random::<f64>() < self.loss {
                     continue;
@@ -179,6 +180,10 @@
     let mut net = Net::new(2, 16, 0.02);
     net.until_whole(30_000);
     let downs = net.downs();
+    // It suspects somebody when it is stopped, and that one's word against it waits unread.
+    net.cut = Box::new(|from, to| from == 3 || to == 3);
+    net.runs(1_200);
+    net.cut = Box::new(|_, _| false);
     net.paused.insert(3, net.now + 6_000);
     net.runs(6_500);
     let accused = net.members[3].as_ref().map(|member| member.downs);
