Room for descriptors is made at the start, by the proxy and by the rig

A sampler found its threads in synchronize_rcu below expand_files: the kernel grows a table of descriptors that threads share only after all cores have passed a quiet state, and whoever opens one meanwhile waits. The proxy has two threads, too (its log), and its one core serves all accesses: a fleet that starts as one would stand still as one, each time its connections pass 64, 128 or 256. Ruled out: late disks (24 at once write in 10 ms), memory, stolen time, the proxies (later accesses were in time).

Measured: a test reads the size of the table before the first access.

--- a/crates/flintwell-emulator/tests/fuzz.rs
+++ b/crates/flintwell-emulator/tests/fuzz.rs
@@ -53,7 +53,8 @@
     let mut members: Vec<Member> = (0..FLEET).map(member).collect();
     let mut shares: Vec<Share> = (0..FLEET).map(|n| Share::start(0, 1, FLEET, n.into())).collect();
     let mut probes: Vec<Probes> = (0..FLEET).map(|n| Probes::new(n, n.into())).collect();
-    let (mut all, mut flying): (Vec<Vec<u8>>, Vec<(SocketAddr, Vec<u8>)>) = (Vec::new(), Vec::new());
+    let mut all: Vec<Vec<u8>> = Vec::new();
+    let mut flying: Vec<(SocketAddr, Vec<u8>)> = Vec::new();
     for now in (0..6_000).step_by(10) {
         for (to, datagram) in std::mem::take(&mut flying) {
             let n = (0..FLEET).find(|&n| addr(n) == to).expect("one of them") as usize;
@@ -103,7 +104,9 @@
     std::fs::create_dir_all(corpus()).expect("a folder");
     // Some of each length and kind: few tell as much as all.
     let mut kept: std::collections::BTreeMap<(u8, usize), Vec<u8>> = Default::default();
-    all.into_iter().for_each(|one| drop(kept.entry((one[5], one.len())).or_insert(one)));
+    for one in all {
+        kept.entry((one[5], one.len())).or_insert(one);
+    }
     for ((kind, length), datagram) in kept {
         std::fs::write(corpus().join(format!("{kind}-{length:03}")), datagram).expect("written");
     }
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -9,6 +9,8 @@
 use flintwell_standins::discovery::View;
 use flintwell_standins::nodes::ORIGIN;
 use flintwell_standins::world::{Made, World};
+use rustix::io::fcntl_dupfd_cloexec;
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -21,6 +23,7 @@
 
 const DISCOVERY: &str = "discovery"; // names the path to it
 const STAFF: &str = "staff"; // names the path from the staff to a proxy's second address
+const DESCRIPTORS: u64 = 16_384; // 64 proxies with some connections to each of some nodes, both ends ours
 const SEEDS: usize = 3; // proxies that each is told of at its start
 const GRACE: f64 = 300.0; // ms; from a drain's telling until nothing new goes there
 const FALL: f64 = 2.0; // s; within which a cold node falls
@@ -140,6 +143,17 @@
     SocketAddr::from(([127, high, process as u8, (number % 250) as u8 + 1], port + number / 250))
 }
 
+/// Room for descriptors, at once. Danger: the kernel grows a table of descriptors that threads share only after all cores
+/// have passed a quiet state (`synchronize_rcu` in `expand_files`), and whoever opens one meanwhile waits: on a busy
+/// machine a second, in which none of our nodes answered, and accesses in hand looked late.
+fn makes_room() {
+    let limit = getrlimit(Resource::Nofile);
+    let most = limit.maximum.map_or(DESCRIPTORS, |most| most.min(DESCRIPTORS));
+    // Where that is barred, it grows as it did.
+    let _ = setrlimit(Resource::Nofile, Rlimit { current: Some(most), ..limit });
+    let _ = fcntl_dupfd_cloexec(std::io::stderr(), most as i32 - 1);
+}
+
 fn settings(shape: &Shape, n: usize) -> Value {
     let case = |name: &str, effect: &str| {
         json!({"name": name, "effect": effect, "group": "all", "key_ttl": 3.0, "goal_time": 0.5,
@@ -165,6 +179,7 @@
         if shape.proxies == 0 || shape.proxies > 64 || shape.zones.is_empty() {
             return Err("a fleet has 1 to 64 proxies and at least one zone".into());
         }
+        makes_room();
         let world = World::new();
         let failed = |error: std::io::Error| format!("a stand-in: {error}");
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -27,6 +27,8 @@
 use flintwell_settings::{decode, decode_network};
 use flintwell_state::Disk;
 use futures_util::FutureExt;
+use rustix::io::fcntl_dupfd_cloexec;
+use rustix::process::{Resource, getrlimit};
 use std::cell::RefCell;
 use std::panic::AssertUnwindSafe;
 use std::path::PathBuf;
@@ -41,6 +43,7 @@
 
 const AGAIN: Duration = Duration::from_millis(100); // before a part starts again; well within a watch
 const SUPERVISED: &str = "EDGE_SUPERVISED"; // set by a supervisor: we end with it
+const DESCRIPTORS_MOST: u64 = 65_536; // room for them takes half a MB
 const OWN_SOCKETS: usize = 32; // descriptors; runtime, signals, log, listener, discovery; some spare
 
 /// Does a part's work to its end. Danger: a part that panics would be missed for as long as we run, with no
@@ -52,7 +55,18 @@
     }
 }
 
+/// Room for descriptors, while we are one thread. Danger: the kernel grows a table of descriptors that threads share (the
+/// log has one) only after all cores have passed a quiet state; meanwhile our one core opens nothing and stands still, on a
+/// busy machine for a second, and those of a fleet that starts as one all at the same number of connections.
+fn makes_room(sockets: usize) {
+    let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    let most = limit.min(sockets as u64).min(DESCRIPTORS_MOST);
+    // Where that is barred, the table grows as it did.
+    let _ = fcntl_dupfd_cloexec(std::io::stderr(), most as i32 - 1);
+}
+
 pub fn serve(config: Config, path: PathBuf) -> Result<(), String> {
+    makes_room(config.sockets);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     LocalSet::new().block_on(&runtime, run(config, path))
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -32,6 +32,18 @@
     }
 }
 
+/// Growing while it serves, with two threads, would stand it still.
+#[test]
+fn room_for_all_descriptors_is_made_before_it_serves() {
+    let (cache, origin) = (misses(), misses());
+    let mut config = config(cache.addr, origin.addr);
+    config["limits"] = json!({"sockets": 700});
+    let proxy = Proxy::start(&config);
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("its status");
+    let room = status.lines().find_map(|line| line.strip_prefix("FDSize:")).expect("a size");
+    assert!(room.trim().parse::<usize>().expect("a number") >= 700, "{room}");
+}
+
 #[test]
 fn each_call_has_its_answer_and_bad_ones_are_told_why() {
     let (config, at) = managed(config(misses().addr, misses().addr));
