A datagram is posted in one place, and who tries a node is drawn only where that matters

Cause: read once more, the closing, counting and sending of a datagram stood twice in the member; each round drew over all members (a hash each) for every silent node, though it matters only once enough others found it silent too: with a thousand proxies and a zone silent some hundred thousand hashes a round on the core that serves accesses.

Change: one posts; the draw comes last in the condition. Behaviour is the same.

--- a/crates/flintwell-membership/src/member.rs
+++ b/crates/flintwell-membership/src/member.rs
@@ -208,9 +208,13 @@
 
     /// A word of another subsystem to one member; may be lost, doubled or late.
     pub fn tells(&mut self, to: &Id, word: &[u8], wire: &mut impl Wire) {
-        if let Some(datagram) = self.seal.close(Kind::Word, word) {
+        self.posts(to.addr, Kind::Word, word, wire);
+    }
+
+    fn posts(&mut self, to: SocketAddr, kind: Kind, body: &[u8], wire: &mut impl Wire) {
+        if let Some(datagram) = self.seal.close(kind, body) {
             (self.sent, self.sent_bytes) = (self.sent + 1, self.sent_bytes + datagram.len() as u64);
-            wire.sends(to.addr, &datagram);
+            wire.sends(to, &datagram);
         }
     }
 
@@ -259,10 +263,7 @@
             self.timers.insert((at, self.set), timer);
         }
         for (to, body) in asked.sends {
-            if let Some(datagram) = self.seal.close(Kind::Membership, &body) {
-                (self.sent, self.sent_bytes) = (self.sent + 1, self.sent_bytes + datagram.len() as u64);
-                wire.sends(to.addr, &datagram);
-            }
+            self.posts(to.addr, Kind::Membership, &body, wire);
         }
     }
 }
--- a/crates/flintwell-shared-probes/src/lib.rs
+++ b/crates/flintwell-shared-probes/src/lib.rs
@@ -52,6 +52,13 @@
     hash.iter().take(8).fold(0, |sum, &byte| sum << 8 | u64::from(byte))
 }
 
+/// Whether this member is among the few who try a node: the highest by a draw alike at all who know the same members.
+fn probes(number: u32, mark: Mark, others: &[u32]) -> bool {
+    let draw = |number: u32| short(&[&mark.to_be_bytes(), &number.to_be_bytes()]);
+    let ours = draw(number);
+    others.iter().filter(|&&other| draw(other) > ours).count() < PROBERS
+}
+
 #[derive(Default)]
 struct Node {
     /// To us.
@@ -111,13 +118,15 @@
         }
         let mut hints = Vec::new();
         for (n, &mark) in marks.iter().enumerate() {
-            let prober = self.probes(mark, others);
             let node = self.nodes.entry(mark).or_default();
             (node.silent, node.back_until) = (true, 0);
             if std::mem::take(&mut node.told_back) && now >= node.tried_at + BACK_APART {
                 node.tried_at = now;
                 hints.push((n, Hint::Try));
-            } else if !prober && node.witnesses.len() >= WITNESSES && now >= node.tried_at + BACK_APART {
+            } else if node.witnesses.len() >= WITNESSES
+                && now >= node.tried_at + BACK_APART
+                && !probes(self.number, mark, others)
+            {
                 hints.push((n, Hint::Leave(LEFT)));
             }
         }
@@ -146,13 +155,6 @@
         word
     }
 
-    /// Whether we are among the few who try this node: the highest by a draw alike at all who know the same members.
-    fn probes(&self, mark: Mark, others: &[u32]) -> bool {
-        let draw = |number: u32| short(&[&mark.to_be_bytes(), &number.to_be_bytes()]);
-        let ours = draw(self.number);
-        others.iter().filter(|&&other| draw(other) > ours).count() < PROBERS
-    }
-
     pub fn hears(&mut self, now: u64, from: u32, word: &Word) {
         for mark in &word.silent {
             // Bounded: of nodes that are not silent to us only few are remembered.
@@ -172,7 +174,7 @@
         let of = |name: &&str| {
             let mark = short(&[name.as_bytes()]);
             let witnesses = self.nodes.get(&mark).map_or(0, |node| node.witnesses.len());
-            Standing { node: (*name).to_owned(), witnesses, prober: self.probes(mark, others) }
+            Standing { node: (*name).to_owned(), witnesses, prober: probes(self.number, mark, others) }
         };
         silent.iter().map(of).collect()
     }
