One wire that keeps what a member says serves the emulator and the fuzzing

Cause: the same wire stood in the emulator and in its fuzzing test, line by line.

Change: it lies beside the trait that it serves, in flintwell-membership; the test's limit of 256 bytes is asserted where it takes what was sent. Behaviour is the same.

Measured: clippy, and the tests of flintwell-membership and flintwell-emulator.

--- a/crates/flintwell-emulator/src/run.rs
+++ b/crates/flintwell-emulator/src/run.rs
@@ -7,7 +7,7 @@
     Standing, UseCase,
 };
 use flintwell_core::policy::Policy;
-use flintwell_membership::member::{self, Id, Member, Wire};
+use flintwell_membership::member::{self, Id, Mail, Member};
 use flintwell_shared_limits::loans::EACH;
 use flintwell_shared_limits::share::{Counted, ROUND, Share, Word};
 use flintwell_shared_probes::{Hint, Probes, Word as Probed};
@@ -55,22 +55,6 @@
     fn watch_list(&mut self) {}
 }
 
-/// Datagrams and words of one call.
-#[derive(Default)]
-struct Mail {
-    sends: Vec<(SocketAddr, Vec<u8>)>,
-    heard: Vec<(Id, Vec<u8>)>,
-}
-
-impl Wire for Mail {
-    fn sends(&mut self, to: SocketAddr, datagram: &[u8]) {
-        self.sends.push((to, datagram.to_vec()));
-    }
-    fn hears(&mut self, from: &Id, word: &[u8]) {
-        self.heard.push((from.clone(), word.to_vec()));
-    }
-}
-
 struct Access {
     key: u64,
     came: Micros,
--- a/crates/flintwell-emulator/tests/fuzz.rs
+++ b/crates/flintwell-emulator/tests/fuzz.rs
@@ -2,7 +2,7 @@
 //! understood is counted, and no number that comes out of it is none. The corpus lies beside; `cargo test -p
 //! flintwell-emulator --test fuzz -- --ignored` makes it anew. `FUZZ=100000` plays more.
 
-use flintwell_membership::member::{Id, Member, Settings, Wire};
+use flintwell_membership::member::{Id, Mail, Member, Settings};
 use flintwell_membership::seal::{Kind, Seal};
 use flintwell_shared_limits::loans::EACH;
 use flintwell_shared_limits::share::{Counted, ROUND, Share, Word};
@@ -28,20 +28,10 @@
     )
 }
 
-#[derive(Default)]
-struct Mail {
-    sends: Vec<(SocketAddr, Vec<u8>)>,
-    heard: Vec<(Id, Vec<u8>)>,
-}
-
-impl Wire for Mail {
-    fn sends(&mut self, to: SocketAddr, datagram: &[u8]) {
-        assert!(datagram.len() <= 256);
-        self.sends.push((to, datagram.to_vec()));
-    }
-    fn hears(&mut self, from: &Id, word: &[u8]) {
-        self.heard.push((from.clone(), word.to_vec()));
-    }
+/// What a member sent in one call, each within the limit.
+fn sent(mail: Mail) -> Vec<(SocketAddr, Vec<u8>)> {
+    assert!(mail.sends.iter().all(|(_, datagram)| datagram.len() <= 256));
+    mail.sends
 }
 
 fn corpus() -> PathBuf {
@@ -69,7 +59,7 @@
                     members[n].tells(&from, &answer.encode(), &mut mail);
                 }
             }
-            flying.extend(mail.sends);
+            flying.extend(sent(mail));
             all.push(datagram);
         }
         for n in 0..FLEET as usize {
@@ -91,7 +81,7 @@
                     members[n].tells(to, &word, &mut mail);
                 }
             }
-            flying.extend(mail.sends);
+            flying.extend(sent(mail));
         }
     }
     all
@@ -172,6 +162,7 @@
             assert!(rate.is_none_or(|rate| rate.is_finite() && rate > 0.0), "{rate:?}");
             assert!(share.units(now) <= FLEET * EACH);
         }
+        sent(mail);
     }
     let dropped = one.dropped();
     assert!(
--- a/crates/flintwell-membership/src/member.rs
+++ b/crates/flintwell-membership/src/member.rs
@@ -51,6 +51,22 @@
     fn hears(&mut self, from: &Id, word: &[u8]);
 }
 
+/// A wire that keeps what goes out and what is heard, for a host that deals with it after the call.
+#[derive(Default)]
+pub struct Mail {
+    pub sends: Vec<(SocketAddr, Vec<u8>)>,
+    pub heard: Vec<(Id, Vec<u8>)>,
+}
+
+impl Wire for Mail {
+    fn sends(&mut self, to: SocketAddr, datagram: &[u8]) {
+        self.sends.push((to, datagram.to_vec()));
+    }
+    fn hears(&mut self, from: &Id, word: &[u8]) {
+        self.heard.push((from.clone(), word.to_vec()));
+    }
+}
+
 pub struct Settings {
     pub cluster: String,
     /// Of the keyed tag; empty for none.
