A silent watch is noticed soon after its wait and asked anew at once

The watch of n4 had been called at 0.031 with a wait of 10 s and fell silent; what it misses counts as told 2 s after that wait, at 12.03. So we began to doubt the watch at the instant at which what it missed counts (WATCH + GRACE = 12 s in fleet/discovery.rs), and then paused 0.35 to 1.05 s (LIST_RETRY; 0.125 to 0.375 s where lists are pushed), a pause meant for calls that failed.

Change: flintwell-list-watch decides, without I/O, when discovery is called. Waits are drawn (6 s, 40 ms a proxy more, 20 s at most), so that a fleet whose watches fall silent as one does not ask as one; half a second past its wait a watch counts as silent; the next call comes at once, waits for nothing and is repeated until what was missed counts. Where lists are pushed a call that fails is made again within half the grace, since what discovery has counts at once at its return.

--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -78,7 +78,7 @@
 const COUNT: Needed = Needed::Number(0.0, 1e6); // far above any fleet, and any price in points
 
 /// Every setting that is read, beside names and what use cases and tenants hold.
-const CHECKED: [(&str, Needed); 22] = [
+const CHECKED: [(&str, Needed); 23] = [
     ("/index", COUNT),
     ("/locality", COUNT),
     ("/fleet_size", Needed::Number(1.0, 1e6)),
@@ -98,6 +98,7 @@
     ("/guarantees/ramp_time", SPAN),
     ("/guarantees/fall", SPAN),
     ("/guarantees/start_drift", SPAN),
+    ("/guarantees/stop_sending_within", SPAN),
     ("/penalties/connection", COUNT),
     ("/penalties/handshake", COUNT),
     ("/penalties/cross_zone", COUNT),
@@ -244,6 +245,8 @@
     pub dial_within: Micros,
     /// A cache node closes a connection that has been idle for this long.
     pub idle_most: Micros,
+    /// From when a drain counts as told until nothing new may go there.
+    pub drain_grace: Micros,
     /// The longest time in which a client waits for one answer.
     pub longest: Micros,
 }
@@ -267,6 +270,7 @@
         kinds: names("/flavors", ""),
         dial_within: need("/limits/dial_timeout")?,
         idle_most: need("/limits/keepalive")?,
+        drain_grace: number(conf, "/guarantees/stop_sending_within").map_or(0, micros),
         longest: list(conf, "/use_cases")
             .iter()
             .filter_map(|case| number(case, "/outer_limit"))
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -1,4 +1,5 @@
-//! Asks discovery for the list of nodes, decodes what it tells, and passes it on.
+//! Calls discovery for the list of nodes, decodes what it tells, and passes it on. When each call is due and how long it
+//! may take is decided by `flintwell-list-watch` and, where the list has to be asked for, by the module.
 
 use crate::accesses::desk::Desk;
 use crate::clients::body::Outgoing;
@@ -7,26 +8,21 @@
 use crate::process::clock::span;
 use crate::say;
 use bytes::Bytes;
-use flintwell_core::interface::{ListKind, Micros};
+use flintwell_core::interface::ListKind;
+use flintwell_list_watch::{Again, Call, Figures, Watch};
 use flintwell_settings::listing::Listing;
 use futures_util::FutureExt;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
-const WATCH: Duration = Duration::from_secs(10); // a watch's wait; a silent discovery is noticed soon after
-const GRACE: Duration = Duration::from_secs(2); // beyond it, for the way and for discovery's other calls
 const DIAL: Duration = Duration::from_secs(1); // for a connection to come up; far above any way there
 const PACE: Duration = Duration::from_millis(100); // between empty answers; well under what ends a watch
 const LIST_MOST: u64 = 4 << 20; // bytes; a list of ten thousand nodes
-const RETRY: Micros = 250_000; // us; first wait after a failed call, where the module does not set it
-const RETRY_DOUBLINGS: u32 = 4; // of that wait; 4 s at most, or changes are told late
 
 pub struct Discovery {
     /// Where it is, as the configuration has it now, and where we asked last.
@@ -35,11 +31,13 @@
     roster: Rc<Roster>,
     /// The module asks for the list; else it is watched all the time.
     wanted: Option<Rc<Notify>>,
-    rng: ChaCha8Rng,
+    calls: Watch,
     /// Of the list last had; none from where we ask now.
     version: Option<u64>,
     link: Option<Link>,
     watching: bool,
+    /// Calls in a row that failed.
+    failed: u64,
 }
 
 impl Discovery {
@@ -47,11 +45,22 @@
         addr: watch::Receiver<SocketAddr>,
         roster: Rc<Roster>,
         wanted: Option<Rc<Notify>>,
+        figures: Figures,
         seed: u64,
     ) -> Self {
-        let rng = ChaCha8Rng::seed_from_u64(seed);
         let asked_at = *addr.borrow();
-        Discovery { addr, asked_at, roster, wanted, rng, version: None, link: None, watching: false }
+        let calls = Watch::new(figures, seed);
+        Discovery {
+            addr,
+            asked_at,
+            roster,
+            wanted,
+            calls,
+            version: None,
+            link: None,
+            watching: false,
+            failed: 0,
+        }
     }
 
     /// The list as it was last had.
@@ -59,9 +68,9 @@
         self.tell(known, ListKind::Kept);
     }
 
-    /// Watches for as long as calls go well; after a failure anew when the module asks, or after a wait.
+    /// Watches for as long as calls go well; after a failure anew when that is due, or when the module asks.
     pub async fn watch(&mut self, desk: &Desk) {
-        let (mut failures, mut moves) = (0, self.addr.clone());
+        let mut moves = self.addr.clone();
         if self.watching {
             // Started again in the midst of a watch, which the module takes to go on.
             desk.list(ListKind::Failed, Vec::new());
@@ -71,21 +80,24 @@
                 tokio::select! {
                     () = wanted.notified() => {}
                     // What it has to tell there counts as told within seconds.
-                    Ok(()) = moves.changed() => {}
+                    Ok(()) = moves.changed() => self.calls.moved(),
                 }
             }
             self.watching = true;
             // The next call comes at once, so that the watch goes on.
-            let broken = loop {
+            loop {
                 let asked = Instant::now();
                 let called = tokio::select! {
-                    called = self.call() => called,
+                    called = self.call(desk) => called,
                     // Danger: the old discovery would keep us waiting for what only the new one tells.
-                    Ok(()) = moves.changed() => continue,
+                    Ok(()) = moves.changed() => {
+                        self.calls.moved();
+                        continue;
+                    }
                 };
                 match called {
                     Ok(listing) => {
-                        failures = 0;
+                        self.answered();
                         if listing.is_empty() && asked.elapsed() < PACE {
                             // Danger: a watch that does not wait would be asked without a pause.
                             sleep(PACE).await;
@@ -93,39 +105,64 @@
                         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
                         self.tell(&listing, kind);
                     }
-                    Err(broken) => break broken,
+                    Err(broken) => match self.broken(desk, broken) {
+                        // Where it has moved to, nothing has failed yet.
+                        Again::At(at) => {
+                            if let Ok(Ok(())) = timeout_at(desk.clock.instant(at), moves.changed()).await {
+                                self.calls.moved();
+                            }
+                        }
+                        Again::Asked => break,
+                    },
                 }
-            };
-            say!("discovery: {broken}");
-            (self.link, self.watching) = (None, false);
+            }
+            self.watching = false;
             // What was asked for during the call that failed is answered by its failure.
             self.wanted.as_ref().map(|wanted| wanted.notified().now_or_never());
             desk.list(ListKind::Failed, Vec::new());
-            if self.wanted.is_none() {
-                let wait = (RETRY << u32::min(failures, RETRY_DOUBLINGS)) as f64;
-                failures += 1;
-                let wait = span((wait * self.rng.random_range(0.5..1.5)) as Micros);
-                // Where it has moved to, nothing has failed yet.
-                if let Ok(Ok(())) = timeout(wait, moves.changed()).await {
-                    failures = 0;
-                }
-            }
         }
     }
 
+    fn answered(&mut self) {
+        if self.failed > 1 {
+            say!("discovery: answers again, after {} calls that failed", self.failed);
+        }
+        self.failed = 0;
+        self.calls.answered();
+    }
+
+    fn broken(&mut self, desk: &Desk, (broken, silent): (Broken, bool)) -> Again {
+        self.link = None;
+        self.failed += 1;
+        // An outage is two lines, however often it is asked meanwhile.
+        if self.failed == 1 {
+            say!("discovery: {broken}");
+        }
+        self.calls.failed(desk.clock.now(), silent)
+    }
+
     fn tell(&mut self, listing: &Listing, kind: ListKind) {
         self.version = Some(listing.version);
         self.roster.take(listing, kind);
     }
 
-    async fn call(&mut self) -> Result<Listing, Broken> {
+    /// The next call's answer; if there is none, why, and whether nothing was said at all.
+    async fn call(&mut self, desk: &Desk) -> Result<Listing, (Broken, bool)> {
         let progress = Progress::default();
-        let answered = timeout(WATCH + GRACE, self.exchange(&progress)).await;
-        let body = answered.unwrap_or_else(|_| Err(progress.broken(Cause::TimedOut)))?;
-        serde_json::from_slice(&body).map_err(|e| progress.broken(Cause::Garbage(e.to_string())))
+        let link = self.link().await.map_err(|broken| (broken, false))?;
+        self.calls.grants(self.roster.grace());
+        let call = self.calls.call(desk.clock.now(), self.version.is_none());
+        let answered = timeout(span(call.within), self.exchange(call, link, &progress)).await;
+        let body = match answered {
+            Ok(answered) => answered.map_err(|broken| (broken, false))?,
+            Err(_) => return Err((progress.broken(Cause::TimedOut), true)),
+        };
+        let garbage = |e: serde_json::Error| (progress.broken(Cause::Garbage(e.to_string())), false);
+        serde_json::from_slice(&body).map_err(garbage)
     }
 
-    async fn exchange(&mut self, progress: &Progress) -> Result<Bytes, Broken> {
+    /// A connection to where it is now.
+    async fn link(&mut self) -> Result<Link, Broken> {
         let addr = *self.addr.borrow();
         if std::mem::replace(&mut self.asked_at, addr) != addr {
             // Danger: one discovery's versions may say nothing to another; the whole list is asked for.
@@ -135,13 +172,16 @@
             Some(link) => link.ready().await,
             None => None,
         };
-        let mut link = match open {
-            Some(link) => link,
-            None => timeout(DIAL, Link::dial(addr, None))
-                .await
-                .unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))?,
-        };
-        let since = |version| format!("?since={version}&timeout_ms={}", WATCH.as_millis());
+        match open {
+            Some(link) => Ok(link),
+            None => {
+                timeout(DIAL, Link::dial(addr, None)).await.unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))
+            }
+        }
+    }
+
+    async fn exchange(&mut self, call: Call, mut link: Link, progress: &Progress) -> Result<Bytes, Broken> {
+        let since = |version| format!("?since={version}&timeout_ms={}", call.wait / 1_000);
         let path = format!("/registry/instances{}", self.version.map_or_else(String::new, since));
         let mut request = Request::new(Outgoing::Empty);
         let garbage = |words| progress.broken(Cause::Garbage(words));
--- a/crates/flintwell/src/fleet/roster.rs
+++ b/crates/flintwell/src/fleet/roster.rs
@@ -5,7 +5,7 @@
 use crate::process::live::Live;
 use crate::process::store::{Store, plain};
 use crate::say;
-use flintwell_core::interface::{ListKind, NodeId, Standing};
+use flintwell_core::interface::{ListKind, Micros, NodeId, Standing};
 use flintwell_settings::Network;
 use flintwell_settings::listing::{Line, Listing};
 use serde::{Deserialize, Serialize};
@@ -149,6 +149,11 @@
         line
     }
 
+    /// From when a drain counts as told until nothing new may go there.
+    pub fn grace(&self) -> Micros {
+        self.network.get().drain_grace
+    }
+
     /// The list as it is told now.
     pub fn listing(&self) -> Listing {
         let servers = self.lines.borrow().values().map(|line| self.overlaid(line)).collect();
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -23,6 +23,7 @@
 use crate::staff::counts::Counts;
 use crate::staff::management::{self, Office};
 use crate::staff::rollout::Rollout;
+use flintwell_list_watch::Figures;
 use flintwell_rollout::member::Member;
 use flintwell_settings::{decode, decode_network};
 use flintwell_state::Disk;
@@ -116,6 +117,8 @@
     let network = Live::new(config.network);
     let list_wanted = Rc::new(Notify::new());
     let place = (config.settings.index, config.settings.fleet_size);
+    let pushed = !config.settings.list_on_request;
+    let figures = Figures { pushed, fleet: place.1, grace: network.get().drain_grace };
     let asked = config.settings.list_on_request.then(|| list_wanted.clone());
     let origin_kind = config.settings.origin_kind;
     let (clock, seed) = (Clock::start(), config.seed);
@@ -128,7 +131,7 @@
     let succession = Rc::new(succession.map_err(|e| format!("folder for temporary files: {e}"))?);
     let roster = Roster::new(network.clone(), origin_kind, pool.clone(), desk.clone(), store);
     let (moves, discovery_at) = watch::channel(config.discovery);
-    let mut discovery = Discovery::new(discovery_at, roster.clone(), asked, seed);
+    let mut discovery = Discovery::new(discovery_at, roster.clone(), asked, figures, seed);
     discovery.start(roster.left().as_ref().unwrap_or(&config.known));
     let watched = desk.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
