A list older than the one told is not taken; sends look at the list; bounds of 1,024

An answer of discovery that tells an older version than the one had was taken: a copy that lags brought back as ready what was announced as leaving (test: red before, the cache got the read). Now it counts as a call that failed and the whole list is asked for. An idle connection is checked against the list before its use, as a dialled one is. LOANS_MOST 64 -> 4,096, rig 64 -> 1,024 proxies. A time to ask within under half a second is refused with one line.

--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -23,7 +23,8 @@
 
 const DISCOVERY: &str = "discovery"; // names the path to it
 const STAFF: &str = "staff"; // names the path from the staff to a proxy's second address
-const DESCRIPTORS: u64 = 16_384; // 64 proxies with some connections to each of some nodes, both ends ours
+const DESCRIPTORS: u64 = 131_072; // where the system lets us: hundreds of proxies with some connections to some nodes, both ends ours
+const PROXIES_MOST: usize = 1_024; // far above what one machine carries
 const SEEDS: usize = 3; // proxies that each is told of at its start
 const GRACE: f64 = 300.0; // ms; from a drain's telling until nothing new goes there
 const FALL: f64 = 2.0; // s; within which a cold node falls
@@ -181,8 +182,8 @@
         if !program.is_file() {
             return Err(format!("{}: no such program; build it first", program.display()));
         }
-        if shape.proxies == 0 || shape.proxies > 64 || shape.zones.is_empty() {
-            return Err("a fleet has 1 to 64 proxies and at least one zone".into());
+        if shape.proxies == 0 || shape.proxies > PROXIES_MOST || shape.zones.is_empty() {
+            return Err(format!("a fleet has 1 to {PROXIES_MOST} proxies and at least one zone"));
         }
         makes_room();
         let world = World::new();
--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -77,6 +77,8 @@
 const SPAN: Needed = Needed::Number(0.0, 86_400.0); // seconds; a day at most
 const COUNT: Needed = Needed::Number(0.0, 1e6); // far above any fleet, and any price in points
 
+const ASK_LEAST: f64 = 0.5; // seconds; no call for the list is surely answered in less
+
 /// Every setting that is read, beside names and what use cases and tenants hold.
 const CHECKED: [(&str, Needed); 23] = [
     ("/index", COUNT),
@@ -93,7 +95,7 @@
     ("/limits/max_hand_offs", Needed::Number(1.0, 1e4)),
     ("/limits/retry_after", Needed::Flag),
     ("/limits/max_retry_after", SPAN),
-    ("/guarantees/ask_within", SPAN),
+    ("/guarantees/ask_within", Needed::Number(ASK_LEAST, 86_400.0)),
     ("/guarantees/start_capacity", Needed::Number(0.0, 1.0)),
     ("/guarantees/ramp_time", SPAN),
     ("/guarantees/fall", SPAN),
@@ -331,6 +333,8 @@
             (json!({"fleet_size": "500"}), "fleet_size"),
             (json!({"fleet_size": 0}), "fleet_size"),
             (json!({"weights": "heavy"}), "weights"),
+            (json!({"guarantees": {"ask_within": 0.1}}), "guarantees.ask_within"),
+            (json!({"guarantees": {"stop_sending_within": -1}}), "guarantees.stop_sending_within"),
             (json!({"penalties": {"cross_zone": -0.1}}), "penalties.cross_zone"),
             (json!({"limits": {"retry_after": 1}}), "limits.retry_after"),
             (json!({"locality": 2}), "locality is 2, but zones has 2"),
--- a/crates/flintwell-shared-limits/src/loans.rs
+++ b/crates/flintwell-shared-limits/src/loans.rs
@@ -10,7 +10,7 @@
 pub const SPAN: u64 = 2_000; // ms of a loan as its borrower counts: a fleet's need moves within some seconds
 pub const DRIFT: f64 = 0.02; // of a span, by which two clocks may differ over it; ten times what hardware does
 const WITHHELD: u64 = SPAN + (SPAN as f64 * 2.0 * DRIFT) as u64 + 1; // ms, as its owner counts
-const LOANS_MOST: usize = 64; // given at once, and asked for; far more than a need takes
+const LOANS_MOST: usize = 4_096; // given at once, and asked for; some from each of a thousand proxies
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Lent {
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -158,7 +158,14 @@
             Err(_) => return Err((progress.broken(Cause::TimedOut), true)),
         };
         let garbage = |e: serde_json::Error| (progress.broken(Cause::Garbage(e.to_string())), false);
-        serde_json::from_slice(&body).map_err(garbage)
+        let listing: Listing = serde_json::from_slice(&body).map_err(garbage)?;
+        if self.version.is_some_and(|version| listing.version < version) {
+            // Danger: a copy of discovery that lags lists as ready what was announced as leaving. Whoever begins anew tells
+            // the whole list, which is asked for next.
+            self.version = None;
+            return Err((progress.broken(Cause::Garbage("older than the list told before".into())), false));
+        }
+        Ok(listing)
     }
 
     /// A connection to where it is now.
--- a/crates/flintwell/src/nodes/handoff.rs
+++ b/crates/flintwell/src/nodes/handoff.rs
@@ -119,7 +119,8 @@
 async fn open(pool: &Pool, node: &NodeId) -> Result<Link, Broken> {
     while let Some(link) = pool.idle(node) {
         if let Some(link) = link.ready().await {
-            return Ok(link);
+            // Danger: the list may have changed since the module chose, and a send counts from its first byte.
+            return pool.listed(node).map(|_| link);
         }
     }
     pool.dial(node).await
--- a/crates/flintwell/src/nodes/pool.rs
+++ b/crates/flintwell/src/nodes/pool.rs
@@ -111,8 +111,7 @@
     }
 
     pub async fn dial(&self, node: &NodeId) -> Result<Link, Broken> {
-        let unlisted = || Broken::unwritten(Cause::Unlisted);
-        let Some(addr) = self.ready_addr(node) else { return Err(unlisted()) };
+        let addr = self.listed(node)?;
         if self.room.available_permits() == 0 {
             self.close_oldest();
         }
@@ -122,11 +121,14 @@
         let dialled = timeout(self.dial_within, Link::dial(addr, permit));
         let link = dialled.await.unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))?;
         // Danger: a node that began to drain while its connection came up would get an access past the grace.
-        if self.ready_addr(node) == Some(addr) { Ok(link) } else { Err(unlisted()) }
+        if self.listed(node)? == addr { Ok(link) } else { Err(Broken::unwritten(Cause::Unlisted)) }
     }
 
-    fn ready_addr(&self, node: &NodeId) -> Option<SocketAddr> {
-        self.nodes.borrow().get(node).filter(|place| place.ready).map(|place| place.addr)
+    /// Where it is, as long as it is listed as ready.
+    pub fn listed(&self, node: &NodeId) -> Result<SocketAddr, Broken> {
+        let nodes = self.nodes.borrow();
+        let ready = nodes.get(node).filter(|place| place.ready);
+        ready.map(|place| place.addr).ok_or(Broken::unwritten(Cause::Unlisted))
     }
 
     /// Takes back a connection whose exchange is done.
--- a/crates/flintwell/tests/process/sockets.rs
+++ b/crates/flintwell/tests/process/sockets.rs
@@ -263,6 +263,33 @@
     assert!(cache.heard().is_empty());
 }
 
+#[test]
+fn a_list_older_than_the_one_told_brings_no_leaving_node_back() {
+    let cache = misses();
+    let origin = Server::start(|_, _| Does::Answers(200, "fetched"));
+    let line = |version, state| -> &'static str {
+        let cache = entry("c", cache.addr, "cache", state);
+        let origin = entry("o", origin.addr, "origin", "ready");
+        format!(r#"{{"version":{version},"full":true,"servers":[{cache},{origin}]}}"#).leak()
+    };
+    let (told, older, anew) = (line(5, "draining"), line(4, "ready"), line(4, "draining"));
+    let discovery = Server::start(move |_, number| match number {
+        0 => Does::Answers(200, told),
+        1 => Does::Answers(200, older),
+        2 => Does::Answers(200, anew),
+        _ => Does::Hangs,
+    });
+    let mut config = config(cache.addr, origin.addr);
+    config["discovery"] = json!(discovery.addr.to_string());
+    config["settings"]["discovery"] = json!("pushed");
+    let proxy = Proxy::start(&config);
+    soon("asked for the whole, and watched on", || discovery.heard().len() == 4);
+    let paths: Vec<_> = discovery.heard().iter().map(|call| call.first.contains("since=")).collect();
+    assert_eq!(paths, [true, true, false, true], "an older one is not taken, the whole is asked for");
+    assert_eq!(proxy.client().ask("read", "k").body, "fetched");
+    assert!(cache.heard().is_empty(), "nothing to the one that leaves");
+}
+
 #[test]
 fn a_planned_stop_answers_all_it_took_and_all_that_come_meanwhile() {
     let origin = Server::start(|_, _| Does::Waits(Duration::from_millis(300), "value"));
