The rig's checker takes grace and mode from the settings as the proxies have them

Read from the shape's overlay, with a default beside, they were worked out twice; the stand-in discovery locked its world twice for a call. Behaviour as it was: plans on real processes, list-watch and rig tests pass.

--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -371,16 +371,18 @@
             ("write", Repeats { replayable: false, memory_ms: Some(3_000.0) }),
             ("once", Repeats { replayable: false, memory_ms: None }),
         ];
+        // As the proxies have them.
+        let settings = settings(&self.shape, 0);
         judge(&Evidence {
             seen: &self.book.all(),
             took: &self.world.took(),
             changes: &self.world.changes(),
             calls: &self.world.calls(),
             hushed: &self.hushed,
-            pushed: self.shape.settings["discovery"] == "pushed",
+            pushed: settings["discovery"] == "pushed",
             made: &self.world.made(),
             repeats: &repeats.map(|(name, repeats)| (name.to_owned(), repeats)).into(),
-            grace_ms: self.shape.settings["guarantees"]["stop_sending_within"]
+            grace_ms: settings["guarantees"]["stop_sending_within"]
                 .as_f64()
                 .map_or(GRACE, |grace| grace * 1e3),
             fall_s: FALL,
--- a/crates/flintwell-standins/src/discovery.rs
+++ b/crates/flintwell-standins/src/discovery.rs
@@ -57,14 +57,13 @@
             |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse::<u64>().ok());
         let since = value("since=");
         let wait = Duration::from_millis(value("timeout_ms=").unwrap_or(0).min(WAIT_MOST));
-        let number = {
+        let (number, each) = {
             let at_ms = self.now_ms();
             let wait_ms = if since.is_some() { wait.as_secs_f64() * 1e3 } else { 0.0 };
             let mut inner = self.lock();
             inner.calls.push(Called { proxy: proxy.into(), at_ms, wait_ms, answered: None });
-            inner.calls.len() - 1
+            (inner.calls.len() - 1, inner.call_time)
         };
-        let each = self.lock().call_time;
         if !each.is_zero() {
             let _turn = self.turn.lock().await;
             sleep(each).await;
