A last look before the first byte: list, window, time, client; closes lose no answer

Now asked of the runtime (it tells the end behind bytes) and of the socket directly before each attempt, and again before the first byte after a dial; - the client of the one that fetches leaves: each of those held fetched for itself; now the first of them leads on (module); - a list and a request that both came while we stood still: the request was sent first, to a server that leaves.

One test changed: "a body that is passed on" waited for two ended connections of the origin; one whose client leaves before its hand-off begins has none now, so the client leaves once the origin has its connection.

--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -95,6 +95,8 @@
     pub connection_price: f64,
     /// How long a cold node can be pushed before it falls.
     pub fall: Micros,
+    /// From the choice of a node until its first byte, at most: a connection may have to come up.
+    pub dial_within: Micros,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -72,7 +72,7 @@
 const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
 const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
-const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most: none has to be refused
+const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most; none need be refused
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 2; // doublings of that wait; a change counts as told 6 s after it could be
 const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
@@ -227,7 +227,9 @@
 
     /// The client has left, its answer has begun to stream, or it is over otherwise; nothing more is owed.
     pub fn access_gone(&mut self, now: Micros, id: &AccessId) {
+        let next = self.next_lead(id);
         self.finish(now, id, false, 0);
+        next.inspect(|next| self.alone(now, next));
         self.arm();
     }
 
@@ -541,6 +543,18 @@
         }
     }
 
+    /// Danger: those held for one whose client has left would each fetch the key; the first of them leads on.
+    fn next_lead(&mut self, id: &AccessId) -> Option<AccessId> {
+        let join =
+            self.joins.get_mut(&self.accesses.get(id)?.key).filter(|j| j.leader.as_ref() == Some(id))?;
+        join.followers.retain(|follower| self.accesses.contains_key(follower));
+        let next = join.followers.first().cloned()?;
+        join.followers.remove(0);
+        join.leader = Some(next.clone());
+        self.accesses.unhold(&next);
+        Some(next)
+    }
+
     fn alone(&mut self, now: Micros, id: &AccessId) {
         if self.settings.aside { self.fetch(now, id) } else { self.ask_cache(now, id) }
     }
@@ -624,7 +638,8 @@
         match case.effect {
             Effect::Replayable => true,
             Effect::SingleUse => false,
-            Effect::Referenced if now >= first.sent_at + case.memory => false,
+            // Danger: a repeat that waits for its connection may begin when its window is over.
+            Effect::Referenced if now + self.settings.dial_within >= first.sent_at + case.memory => false,
             Effect::Referenced => node.in_group(&self.nodes[first.node], case.group),
         }
     }
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -926,3 +926,35 @@
     }
     assert_eq!(late, 0, "not fetched, a second and a half after it has room");
 }
+
+/// Those held for a read whose client left each fetched the key: of five one leads on, and the rest stay held for it.
+#[test]
+fn where_the_client_of_the_one_that_fetches_leaves_the_first_held_one_leads_on() {
+    let mut play = Play::busy(settings(), 5);
+    let ids: Vec<_> = (0..5).map(|_| play.arrive(0, "k", false)).collect();
+    let home = play.node_of(&ids[2]).expect("its cache");
+    ids.iter().for_each(|id| play.end(id, Ending::Miss));
+    // The second's client has left as well.
+    for left in [1, 0] {
+        play.world.0.borrow_mut().accesses.get_mut(&ids[left]).expect("known").answer = Some("gone");
+        play.policy.access_gone(play.now(), &ids[left]);
+        play.end(&ids[left], Ending::CalledOff);
+    }
+    assert_eq!(play.node_of(&ids[2]), Some(origin()));
+    assert!(ids[3..].iter().all(|id| play.node_of(id).is_none()), "held on");
+    play.end(&ids[2], Ending::Honoured);
+    assert!(ids[3..].iter().all(|id| play.node_of(id) == Some(home.clone())), "where it filled");
+}
+
+/// A repeat was chosen within its window and waited for its connection: it began past the window's end.
+#[test]
+fn a_repeat_leaves_its_window_time_for_a_connection_to_come_up() {
+    for (dial_within, again) in [(0, true), (100 * MS, true), (201 * MS, false), (400 * MS, false)] {
+        let mut play = Play::new(Settings { dial_within, aside: false, ..settings() }, 5);
+        let id = play.arrive(1, "k", false);
+        play.pass(100 * MS);
+        play.end(&id, Ending::Error);
+        // The window is 300 ms from the first hand-off.
+        assert_eq!(play.node_of(&id).is_some(), again, "{dial_within} us for a connection");
+    }
+}
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -152,6 +152,7 @@
         start_drift: 0,
         connection_price: 0.0,
         fall: 2 * SECOND,
+        dial_within: 0,
     }
 }
 
--- a/crates/flintwell-emulator/src/run.rs
+++ b/crates/flintwell-emulator/src/run.rs
@@ -164,6 +164,7 @@
         start_drift: 0,
         connection_price: 0.0,
         fall: 2 * SECOND,
+        dial_within: 0,
     }
 }
 
--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -232,6 +232,7 @@
             _ => 0.0,
         },
         fall: span("/guarantees/fall"),
+        dial_within: span("/limits/dial_timeout"),
     })
 }
 
--- a/crates/flintwell/src/accesses/access.rs
+++ b/crates/flintwell/src/accesses/access.rs
@@ -4,11 +4,13 @@
 use crate::clients::answer::Answer;
 use crate::clients::decode::Access;
 use crate::nodes::handoff::{HandOff, HandOffs};
+use crate::nodes::link::Cause;
 use crate::nodes::relay::Content;
 use crate::process::count::one_more;
 use crate::staff::counts::Counts;
 use flintwell_core::interface::{Ending, Micros};
 use std::rc::Rc;
+use std::time::Instant;
 use tower::ServiceExt;
 
 pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs, counts: &Rc<Counts>) -> Answer {
@@ -39,10 +41,17 @@
     loop {
         match seat.next(outer_limit).await {
             Some(Step::HandOff { node, allow_for }) => {
-                let sent_at = desk.clock.now();
                 seat.sends(&node);
+                desk.settles().await;
+                // Danger: a request that was read together with its client's end, or whose client left while it was held,
+                // would be sent on for nobody; the reader tells of that end only later.
+                if access.client.left() {
+                    return Answer::Left;
+                }
+                let sent_at = desk.clock.now();
                 let fetch = desk.is_origin(&node);
-                let hand_off = HandOff { access: access.clone(), node, allow_for };
+                let chosen_at = Instant::now();
+                let hand_off = HandOff { access: access.clone(), node, allow_for, chosen_at };
                 let ended = hand_offs.clone().oneshot(hand_off).await;
                 let wait = desk.clock.now() - sent_at;
                 // What the origin refused has cost it something, too.
@@ -65,6 +74,9 @@
                         if let Some(why) = access.body.passing().and_then(|end| end.broken.take()) {
                             return Answer::Malformed(why);
                         }
+                        if broken.cause == Cause::Left {
+                            return Answer::Left;
+                        }
                         seat.ended(broken.ending(), wait, false);
                     }
                 }
--- a/crates/flintwell/src/accesses/front.rs
+++ b/crates/flintwell/src/accesses/front.rs
@@ -6,6 +6,7 @@
 use crate::clients::body::Budget;
 use crate::clients::decode::Access;
 use crate::clients::framing::Framing;
+use crate::clients::presence::Presence;
 use crate::nodes::handoff::HandOffs;
 use crate::nodes::relay::Content;
 use crate::process::live::Live;
@@ -30,6 +31,8 @@
     pub network: Rc<Live<Network>>,
     pub budget: Rc<Budget>,
     pub shutdown: Shutdown,
+    /// Of the connection that it serves.
+    pub client: Presence,
 }
 
 impl Front {
@@ -37,7 +40,8 @@
         if request.uri().path() == "/health/ready" {
             return Answer::Ready(!self.shutdown.begun());
         }
-        match Access::decode(request, framing, &self.network.get(), &self.budget).await {
+        let client = self.client.clone();
+        match Access::decode(request, framing, &self.network.get(), &self.budget, client).await {
             // It came slowly, or crossed the closing; a successor has longer to answer it than we have.
             Ok(access) if self.shutdown.succeeded() => {
                 let answer = Answer::TurnedBack { stay_away: 0 };
--- a/crates/flintwell/src/clients/accept.rs
+++ b/crates/flintwell/src/clients/accept.rs
@@ -2,6 +2,7 @@
 
 use crate::accesses::front::Front;
 use crate::clients::framing::Scanner;
+use crate::clients::presence::Presence;
 use crate::nodes::carry::Carry;
 use crate::nodes::relay::{Carried, Content, Way};
 use crate::nodes::stream::Shared;
@@ -14,11 +15,12 @@
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -42,8 +44,12 @@
 const HEAD_ENDS: Duration = Duration::from_millis(250); // for a head begun when its place was wanted
 const BUFFER: usize = 16_384; // bytes a connection reads ahead at most; far more than a head holds
 const PAUSE: Duration = Duration::from_millis(50); // after a failure, so that it never spins
-const FREE_WITHIN: Duration = Duration::from_secs(5); // for a forerunner to end; a planned stop takes less
+const FREE_WITHIN: Duration = Duration::from_secs(25); // for a forerunner to leave our address; later is too late to start
 const CUT_TURNS: usize = 256; // of the runtime; far more than what is read ahead of an answer takes
+const LINGER: Duration = Duration::from_millis(200); // for a client to close its side, once we have closed ours
+const ARRIVES: Duration = Duration::from_millis(900); // in which an answer has surely come to its client
+const LINGER_BYTES: usize = 262_144; // bytes that are thrown away meanwhile; more than what clients have on their way
+const LINGER_MOST: usize = 128; // connections that do so at once; a flood of clients gains no more places than that
 const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
 
 /// Clients' connections, by how long they have stood idle.
@@ -53,6 +59,8 @@
     many: usize,
     turn: Cell<u64>,
     open: Cell<usize>,
+    /// Connections whose clients are waited for to close their side.
+    lingering: Cell<usize>,
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
 }
 
@@ -82,6 +90,8 @@
     full: Cell<Option<Instant>>,
     /// Its answer is in the connection's hands, and not all of it written.
     answered: Cell<bool>,
+    /// When all of its last answer was written.
+    answered_at: Cell<Option<Instant>>,
     stream: Rc<TcpStream>,
     /// The long answer that is on its way to it, and a word when one is.
     long: RefCell<Option<Rc<Way>>>,
@@ -104,6 +114,7 @@
             scanner: RefCell::default(),
             full: Cell::default(),
             answered: Cell::default(),
+            answered_at: Cell::default(),
             stream: Rc::new(stream),
             long: RefCell::default(),
             begins: Notify::new(),
@@ -218,6 +229,45 @@
         }
         None
     }
+    /// Ends the connection, once nobody reads from it or writes to it any more. Danger: one that is closed over bytes not
+    /// read is reset, and the answer before it, or its end, goes with it. So our side is closed first, and what still comes
+    /// is thrown away for a moment: nothing of it is sent on.
+    async fn ends(&self) {
+        if self.unwritten.borrow().is_some() {
+            // Its socket is another's now.
+            return;
+        }
+        let socket = SockRef::from(&*self.stream);
+        let cut =
+            self.long.borrow().as_ref().is_some_and(|way| way.broken() && !way.told && !self.chunks.get());
+        if cut {
+            // Danger: where only the end of the connection ends an answer, a clean one makes a part look whole. What fails
+            // here has failed already.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+            return;
+        }
+        // Where its last answer was written long ago, or none was, there is nothing to lose, and its place is wanted.
+        let lately = self.answered_at.get().is_some_and(|at| at.elapsed() < ARRIVES);
+        let many = self.clients.lingering.get() >= LINGER_MOST;
+        if socket.shutdown(Shutdown::Write).is_err() || !lately || many {
+            return;
+        }
+        self.clients.lingering.set(self.clients.lingering.get() + 1);
+        let throws_away = async {
+            let (mut left, mut thrown) = (LINGER_BYTES, [0; 4_096]);
+            while left > 0 && self.stream.readable().await.is_ok() {
+                match self.stream.try_read(&mut thrown) {
+                    Ok(0) => return,
+                    Ok(bytes) => left = left.saturating_sub(bytes),
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                    Err(_) => return,
+                }
+            }
+        };
+        // Who keeps its side open for longer is cut off.
+        let _ = timeout(LINGER, throws_away).await;
+        self.clients.lingering.set(self.clients.lingering.get() - 1);
+    }
     /// Reads ahead of it, for as long as it is asked.
     async fn reads_ahead(&self) {
         poll_fn(|cx| {
@@ -309,6 +359,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
         if self.client.answered.take() {
             self.client.long.take();
+            self.client.answered_at.set(Some(Instant::now()));
             self.client.idles(Heard::Access, USED);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
@@ -390,6 +441,7 @@
         say!("a client's connection: {error}");
     }
     let client = clients.enter(stream);
+    let front = Front { client: Presence::on(client.stream.clone()), ..front };
     let stack = ServiceBuilder::new()
         .map_response({
             let client = client.clone();
@@ -414,8 +466,8 @@
         .service(front);
     let mut http = http1::Builder::new();
     http.timer(TokioTimer::new()).header_read_timeout(IDLE_MOST).max_buf_size(BUFFER);
-    tokio::task::spawn_local(async move {
-        let _permit = permit;
+    let ending = client.clone();
+    let served = async move {
         let heard = TokioIo::new(Listened { stream: Shared(client.stream.clone()), client: client.clone() });
         let mut connection = pin!(http.serve_connection(heard, TowerToHyperService::new(stack)));
         // A successor takes over the long answers that have begun, and those that begin from now on.
@@ -457,6 +509,11 @@
                 heir = handed => leave(connection, &client, &heir).await,
             }
         }
+    };
+    tokio::task::spawn_local(async move {
+        let _permit = permit;
+        served.await;
+        ending.ends().await;
     });
 }
 
--- a/crates/flintwell/src/clients/answer.rs
+++ b/crates/flintwell/src/clients/answer.rs
@@ -18,6 +18,8 @@
     /// Another access of this id is in hand.
     InHand,
     Ready(bool),
+    /// Its client has left; nobody hears it.
+    Left,
 }
 
 impl Answer {
@@ -28,19 +30,19 @@
             Answer::TurnedBack { .. } => Some(End::TurnedBack),
             Answer::BrokenOff => Some(End::BrokenOff),
             Answer::Honoured(Content::Long(_)) => None,
-            Answer::Malformed(_) | Answer::InHand | Answer::Ready(_) => None,
+            Answer::Malformed(_) | Answer::InHand | Answer::Ready(_) | Answer::Left => None,
         }
     }
 
     pub fn encode(self, last: bool) -> Response<Content> {
         // Danger: behind what is malformed, what comes next may be no message of its own.
-        let last = last || matches!(self, Answer::Malformed(_));
+        let last = last || matches!(self, Answer::Malformed(_) | Answer::Left);
         let stay_away = if let Answer::TurnedBack { stay_away } = self { stay_away } else { 0 };
         let text = |words: &'static [u8]| Content::from(Bytes::from_static(words));
         let (status, body) = match self {
             Answer::Honoured(body) => (StatusCode::OK, body),
             Answer::TurnedBack { .. } => (StatusCode::SERVICE_UNAVAILABLE, text(b"")),
-            Answer::BrokenOff => (StatusCode::BAD_GATEWAY, text(b"")),
+            Answer::BrokenOff | Answer::Left => (StatusCode::BAD_GATEWAY, text(b"")),
             Answer::InHand => (StatusCode::CONFLICT, text(b"this id is in hand\n")),
             Answer::Ready(true) => (StatusCode::OK, text(b"ready\n")),
             Answer::Ready(false) => (StatusCode::SERVICE_UNAVAILABLE, text(b"stopping\n")),
--- a/crates/flintwell/src/clients/decode.rs
+++ b/crates/flintwell/src/clients/decode.rs
@@ -3,6 +3,7 @@
 use crate::clients::body::{Budget, Payload};
 use crate::clients::framing::Framing;
 use crate::clients::malformed::Malformed;
+use crate::clients::presence::Presence;
 use flintwell_core::interface::{AccessId, Arrival, Key, Micros};
 use flintwell_settings::Network;
 use hyper::body::Incoming;
@@ -23,6 +24,7 @@
     pub method: Method,
     pub path: Uri,
     pub body: Payload,
+    pub client: Presence,
     pub use_case: usize,
     tenant: usize,
     key: Option<Key>,
@@ -37,6 +39,7 @@
         framing: Framing,
         network: &Network,
         budget: &Rc<Budget>,
+        client: Presence,
     ) -> Result<Self, Malformed> {
         let (head, body) = request.into_parts();
         // Danger: a length beside a transfer encoding hides another access in the body, and is taken out of
@@ -45,10 +48,15 @@
             return Err(Malformed::Doubtful);
         }
         let body = Payload::receive(body, budget).await?;
-        Self::from_parts(head, body, network)
+        Self::from_parts(head, body, network, client)
     }
 
-    fn from_parts(head: Parts, body: Payload, network: &Network) -> Result<Self, Malformed> {
+    fn from_parts(
+        head: Parts,
+        body: Payload,
+        network: &Network,
+        client: Presence,
+    ) -> Result<Self, Malformed> {
         let Parts { method, uri: path, headers, .. } = head;
         if method != Method::GET && method != Method::PUT {
             return Err(Malformed::Method);
@@ -87,6 +95,7 @@
             method,
             path: path.into_parts().path_and_query.map_or(Uri::default(), Uri::from),
             body,
+            client,
         })
     }
 
--- a/crates/flintwell/src/nodes/handoff.rs
+++ b/crates/flintwell/src/nodes/handoff.rs
@@ -15,16 +15,19 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 use tower::Service;
 
 const ANSWER: Most = Most { collected: 65_536, long: LONGEST }; // bytes; spoilt ones can be tried elsewhere
+const MARGIN: Duration = Duration::from_millis(30); // beyond a dial: room for the connection, and the turn of our core
 const TURNS: usize = 3; // of the runtime: the socket's, the connection's and our own
 
 pub struct HandOff {
     pub access: Rc<Access>,
     pub node: NodeId,
     pub allow_for: Micros,
+    pub chosen_at: Instant,
 }
 
 /// A node's whole answer.
@@ -96,6 +99,7 @@
     room: &Rc<Budget>,
 ) -> Result<Answered, Broken> {
     let mut link = open(pool, &hand_off.node).await?;
+    last_look(pool, hand_off)?;
     let (idle, first) = (link.idle_since.elapsed(), link.unused());
     let body = hand_off.access.body.hand_out().ok_or(Broken::unwritten(Cause::Spent))?;
     let reply = link.exchange(message(hand_off, body), ANSWER, progress).await;
@@ -119,13 +123,25 @@
 async fn open(pool: &Pool, node: &NodeId) -> Result<Link, Broken> {
     while let Some(link) = pool.idle(node) {
         if let Some(link) = link.ready().await {
-            // Danger: the list may have changed since the module chose, and a send counts from its first byte.
-            return pool.listed(node).map(|_| link);
+            return Ok(link);
         }
     }
     pool.dial(node).await
 }
 
+/// Directly before the first byte, whatever came between it and the choice: a dial, a full room, a standstill of ours.
+fn last_look(pool: &Pool, hand_off: &HandOff) -> Result<(), Broken> {
+    // Danger: the list may have changed since the module chose, and a send counts from its first byte.
+    pool.listed(&hand_off.node)?;
+    // Danger: a window for repeats, or the request's time, may be over; the module left a dial's time of either.
+    let since = hand_off.chosen_at.elapsed();
+    if since >= span(hand_off.allow_for) || since > pool.dial_within + MARGIN {
+        return Err(Broken::unwritten(Cause::Stale));
+    }
+    // Danger: a client that left meanwhile would have its request carried out for nobody.
+    if hand_off.access.client.left() { Err(Broken::unwritten(Cause::Left)) } else { Ok(()) }
+}
+
 fn message(hand_off: &HandOff, body: Outgoing) -> Request<Outgoing> {
     let access = &hand_off.access;
     let mut message = Request::new(body);
--- a/crates/flintwell/src/nodes/link.rs
+++ b/crates/flintwell/src/nodes/link.rs
@@ -54,6 +54,10 @@
     NoRoom,
     /// An earlier hand-off took the body, which is not kept.
     Spent,
+    /// The client has left.
+    Left,
+    /// It was decided on too long ago.
+    Stale,
 }
 
 /// An exchange that broke.
@@ -69,11 +73,22 @@
     }
     pub fn ending(&self) -> Ending {
         match (self.stage, &self.cause) {
-            (Stage::Unwritten, Cause::Unlisted | Cause::NoRoom | Cause::Spent) => Ending::NotSent,
+            (
+                Stage::Unwritten,
+                Cause::Unlisted | Cause::NoRoom | Cause::Spent | Cause::Left | Cause::Stale,
+            ) => Ending::NotSent,
             (Stage::Unwritten, _) => Ending::ConnectFailed,
             (_, Cause::TimedOut) => Ending::TimedOut,
             (_, Cause::Garbage(_)) => Ending::Spoilt,
-            (_, Cause::Closed(_) | Cause::Unlisted | Cause::NoRoom | Cause::Spent) => Ending::Reset,
+            (
+                _,
+                Cause::Closed(_)
+                | Cause::Unlisted
+                | Cause::NoRoom
+                | Cause::Spent
+                | Cause::Left
+                | Cause::Stale,
+            ) => Ending::Reset,
         }
     }
 }
@@ -91,6 +106,8 @@
             Cause::Unlisted => write!(f, "no longer listed as ready"),
             Cause::NoRoom => write!(f, "no descriptor left"),
             Cause::Spent => write!(f, "its body is gone"),
+            Cause::Left => write!(f, "its client has left"),
+            Cause::Stale => write!(f, "decided on too long ago"),
         }
     }
 }
--- a/crates/flintwell/src/nodes/pool.rs
+++ b/crates/flintwell/src/nodes/pool.rs
@@ -33,7 +33,7 @@
 pub struct Pool {
     nodes: RefCell<HashMap<NodeId, Place>>,
     room: Arc<Semaphore>,
-    dial_within: Duration,
+    pub dial_within: Duration,
     idle_most: Duration,
     /// How long a connection may stand idle, as far as the nodes let us see.
     idle_limit: Cell<Duration>,
--- a/crates/flintwell/src/nodes/relay.rs
+++ b/crates/flintwell/src/nodes/relay.rs
@@ -236,6 +236,11 @@
         })
     }
 
+    /// What its client has of it is a part.
+    pub fn broken(&self) -> bool {
+        self.broken.get()
+    }
+
     /// Its end is not with the connection yet.
     pub fn open(&self) -> bool {
         !self.over.get()
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -5,6 +5,7 @@
 use crate::accesses::watch::Watch;
 use crate::clients::accept;
 use crate::clients::body::Budget;
+use crate::clients::presence::Presence;
 use crate::fleet::discovery::Discovery;
 use crate::fleet::roster::Roster;
 use crate::fleet::words::Words;
@@ -212,7 +213,7 @@
     let hand_offs = HandOffs::new(pool, counts.clone(), Budget::new(config.answers));
     let budget = Budget::new(config.bodies);
     let longest_now = network.clone();
-    let front = Front { desk, hand_offs, counts, network, budget, shutdown };
+    let front = Front { desk, hand_offs, counts, network, budget, shutdown, client: Presence::default() };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
     say!("{} serves on {at}", config.name);
--- a/crates/flintwell/tests/process/streams.rs
+++ b/crates/flintwell/tests/process/streams.rs
@@ -328,6 +328,8 @@
     let mut client = proxy.client();
     write(&mut client, "gone", &format!("Content-Length: {}", 4 << 20));
     client.send(&"x".repeat(2 << 20));
+    // One whose client leaves before its hand-off begins has no connection at all.
+    soon("its connection came", || origin.begun() >= 2);
     drop(client);
     soon("its connection closed", || origin.ended() >= 2);
     assert!(origin.heard().is_empty(), "no half of a body passes for a whole one");
