--- a/crates/flintwell/src/process/config.rs
+++ b/crates/flintwell/src/process/config.rs
@@ -15,7 +15,7 @@
 const BODIES: f64 = 0.25; // of the memory, for bodies of accesses
 const ANSWERS: f64 = 0.375; // of the memory, for answers read ahead; the rest for connections and ourselves
 const KEY_LEAST: usize = 16; // bytes; a shorter one can be guessed
-const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
+pub const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
 
 #[derive(Deserialize)]
 struct Limits {
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -12,7 +12,7 @@
 use crate::nodes::handoff::HandOffs;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, span};
-use crate::process::config::Config;
+use crate::process::config::{Config, SOCKETS_LEAST};
 use crate::process::handover::{self, Inheritance};
 use crate::process::inherit;
 use crate::process::live::Live;
@@ -67,7 +67,19 @@
     let _ = fcntl_dupfd_cloexec(std::io::stderr(), most as i32 - 1);
 }
 
-pub fn serve(config: Config, path: PathBuf) -> Result<(), String> {
+pub fn serve(mut config: Config, path: PathBuf) -> Result<(), String> {
+    // Danger: with a limit of the system below what was told, idle clients would take the last descriptor, and discovery,
+    // servers and the kept files would have none.
+    let limit = getrlimit(Resource::Nofile)
+        .current
+        .map_or(usize::MAX, |limit| usize::try_from(limit).unwrap_or(usize::MAX));
+    if limit < config.sockets {
+        say!("limits.sockets is {}, but this process may hold {limit}; that counts", config.sockets);
+        config.sockets = limit;
+    }
+    if limit < SOCKETS_LEAST {
+        return Err(format!("this process may hold {limit} descriptors; {SOCKETS_LEAST} are the least"));
+    }
     makes_room(config.sockets);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
