Cold servers get a part in turns that all draw alike, not each proxy's first request

At fault: COLD_SLACK, one request of each proxy whatever the others do; and the lot by key, which sends all reads of a hot key that each of hundreds asks for once. Now: the part is rounded up in as many windows as it has of one, drawn from server, proxy and window; of hundreds each read draws its own lot. At 2.5 times the usual, which is over what all servers can do, it still goes beyond (not mended).

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -18,7 +18,6 @@
 const HEAT_FADE: Micros = 20_000_000; // us; how long an access counts for its key's heat: some tens of ours
 const THIN: f64 = 10.0; // own accesses a cache within it; under it a cache is met every few seconds
 const HEATS: usize = 512; // counts of heat by key; far more than a proxy that needs them asks for meanwhile
-const ASKED_BEFORE: f64 = 1.5; // accesses; a key that one of many asks for again may be asked for by all
 const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
 const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
@@ -70,7 +69,7 @@
 const SPEED_MARGIN: f64 = 0.75; // steps off before a kind's changes
 const COPY_PRICE: f64 = 0.012; // of an access's earnings; what one more copy of all keys costs in misses
 const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
-const COLD_SLACK: f64 = 1.0; // accesses a cold node may get beyond its part; lets the first one through
+const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes twice a full load and more
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
 const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most; none need be refused
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
@@ -401,7 +400,14 @@
             return false;
         }
         let fair = taken / self.caches.size.max(1.0);
-        lately(&node.sent) < fair * node.size * warmth + COLD_SLACK
+        // Danger: one let through by each of thirty is thirty; so a part of one is had in as many of its turns, which all
+        // draw alike without a word. Of hundreds each meets a cold node by chance alone, and lots hold that down.
+        let most = COLD_MARGIN * fair * node.size * warmth;
+        let turn = unit(draw(
+            node.id_hash ^ u64::from(self.settings.index),
+            (now / self.settings.fall.max(1)) as u64,
+        ));
+        lately(&node.sent) < if self.thin(now) { most + 1.0 } else { (most + turn).floor() }
     }
 
     fn target(&self, now: Micros, id: &AccessId) -> Option<&Node> {
@@ -424,9 +430,9 @@
         let open = room && thin && self.caches.admit.now >= 1.0;
         let deep = if open { RANKS } else { 1 + usize::from(room) };
         // Danger: a cold node is pushed over by a hot key, which alone brings as much as its others, or by
-        // what others refused. It gets a part of the keys by slots; of a key that all may ask for, a part
-        // of the reads by a lot of their own.
-        let lot = if thin && own >= ASKED_BEFORE { access.turn } else { access.slot };
+        // what others refused. It gets a part of the keys by slots; where each of many asks for a key too seldom
+        // to know it for hot, a part of the reads by a lot of their own.
+        let lot = if thin { access.turn } else { access.slot };
         let takes = |&(rank, n): &(usize, usize)| self.takes(now, n, (rank == 0 && !hot).then_some(lot));
         let slots = self.slots.get(self.places.of(access.use_case)).ok_or(false)?;
         let mut ranks: Vec<usize> = slots.ranks::<RANKS_HOT>(access.slot, PROBES).collect();
