--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -69,7 +69,7 @@
 const SPEED_MARGIN: f64 = 0.75; // steps off before a kind's changes
 const COPY_PRICE: f64 = 0.012; // of an access's earnings; what one more copy of all keys costs in misses
 const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
-const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes twice a full load and more
+const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes over twice a full load
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
 const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most; none need be refused
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
@@ -277,7 +277,7 @@
         self.nodes.silent(self.settings.origin_kind)
     }
 
-    /// Others found it silent and try it until then, or, if that is past, had an answer. Nothing if it is not to us.
+    /// Others found it silent and try it until then, or, if that is past, had an answer.
     pub fn tried_by_others(&mut self, node: &NodeId, until: Micros) {
         self.nodes.put_off(node, until);
     }
@@ -400,8 +400,8 @@
             return false;
         }
         let fair = taken / self.caches.size.max(1.0);
-        // Danger: one let through by each of thirty is thirty; so a part of one is had in as many of its turns, which all
-        // draw alike without a word. Of hundreds each meets a cold node by chance alone, and lots hold that down.
+        // Danger: one let through by each of thirty is thirty; so a part of one is had in as many of its turns,
+        // which all draw alike. Of hundreds each meets a cold node by chance alone, and lots hold that down.
         let most = COLD_MARGIN * fair * node.size * warmth;
         let turn = unit(draw(
             node.id_hash ^ u64::from(self.settings.index),
@@ -430,8 +430,8 @@
         let open = room && thin && self.caches.admit.now >= 1.0;
         let deep = if open { RANKS } else { 1 + usize::from(room) };
         // Danger: a cold node is pushed over by a hot key, which alone brings as much as its others, or by
-        // what others refused. It gets a part of the keys by slots; where each of many asks for a key too seldom
-        // to know it for hot, a part of the reads by a lot of their own.
+        // what others refused. It gets a part of the keys by slots; where each of many asks for a key too
+        // seldom to know it for hot, a part of the reads by a lot of their own.
         let lot = if thin { access.turn } else { access.slot };
         let takes = |&(rank, n): &(usize, usize)| self.takes(now, n, (rank == 0 && !hot).then_some(lot));
         let slots = self.slots.get(self.places.of(access.use_case)).ok_or(false)?;
