--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -69,7 +69,7 @@
 const SPEED_MARGIN: f64 = 0.75; // steps off before a kind's changes
 const COPY_PRICE: f64 = 0.012; // of an access's earnings; what one more copy of all keys costs in misses
 const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
-const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes over twice a full load
+const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes twice that
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
 const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most; none need be refused
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
@@ -400,7 +400,7 @@
             return false;
         }
         let fair = taken / self.caches.size.max(1.0);
-        // Danger: one let through by each of thirty is thirty; so a part of one is had in as many of its turns,
+        // Danger: one let through by each of thirty is thirty; so a part of one is had in as many turns,
         // which all draw alike. Of hundreds each meets a cold node by chance alone, and lots hold that down.
         let most = COLD_MARGIN * fair * node.size * warmth;
         let turn = unit(draw(
--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -68,19 +68,23 @@
 enum Needed {
     /// A number within these, both included.
     Number(f64, f64),
+    /// Seconds: none, or from what the clock can hold to a day.
+    Span,
     Flag,
     /// One of these words.
     Word(&'static [&'static str]),
     List,
 }
 
-const SPAN: Needed = Needed::Number(0.0, 86_400.0); // seconds; a day at most
+const SPAN: Needed = Needed::Span;
+const SPAN_LEAST: f64 = 1e-6; // seconds; the clock's microsecond: less would count as none
+const SPAN_MOST: f64 = 86_400.0; // seconds; a day
 const COUNT: Needed = Needed::Number(0.0, 1e6); // far above any fleet, and any price in points
 
 const ASK_LEAST: f64 = 0.5; // seconds; no call for the list is surely answered in less
 
 /// Every setting that is read, beside names and what use cases and tenants hold.
-const CHECKED: [(&str, Needed); 23] = [
+const CHECKED: [(&str, Needed); 24] = [
     ("/index", COUNT),
     ("/locality", COUNT),
     ("/fleet_size", Needed::Number(1.0, 1e6)),
@@ -97,6 +101,7 @@
     ("/limits/max_retry_after", SPAN),
     ("/guarantees/ask_within", Needed::Number(ASK_LEAST, 86_400.0)),
     ("/guarantees/start_capacity", Needed::Number(0.0, 1.0)),
+    ("/guarantees/tip_multiple", Needed::Number(0.0, 1e6)),
     ("/guarantees/ramp_time", SPAN),
     ("/guarantees/fall", SPAN),
     ("/guarantees/start_drift", SPAN),
@@ -123,6 +128,10 @@
             let within = value.as_f64().is_some_and(|number| (least..=most).contains(&number));
             (within, format!("a number from {least} to {most}"))
         }
+        Needed::Span => {
+            let held = |span: f64| span == 0.0 || (SPAN_LEAST..=SPAN_MOST).contains(&span);
+            (value.as_f64().is_some_and(held), format!("0, or seconds from {SPAN_LEAST} to {SPAN_MOST}"))
+        }
         Needed::Flag => (value.is_boolean(), "true or false".into()),
         Needed::Word(words) => {
             (value.as_str().is_some_and(|word| words.contains(&word)), format!("one of {}", words.join(", ")))
@@ -284,69 +293,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    #[test]
-    fn a_use_case_is_bound_by_names_or_by_places() {
-        let conf = json!({"zones": ["a", "b"], "flavors": ["m1", "m2", "origin"], "use_cases": [
-            {"goal_time": 1, "bound_to": ["m2"], "zones_allowed": [1, "a"]}, {"goal_time": 1, "bound_to": []},
-            {"goal_time": 1}]});
-        let cases = decode(&conf).expect("settings").use_cases;
-        assert_eq!((&cases[0].kinds, &cases[0].zones), (&Some(vec![1]), &Some(vec![1, 0])));
-        assert_eq!(
-            (&cases[1].kinds, &cases[2].kinds),
-            (&Some(vec![]), &None),
-            "bound to none, and not bound"
-        );
-    }
-
-    #[test]
-    fn what_a_running_proxy_is_built_on_cannot_change_and_names_keep_their_places() {
-        let old = json!({"zones": ["a"], "specifics": {"mode": "aside"}, "use_cases": [{"name": "r", "goal_time": 1}],
-            "limits": {"dial_timeout": 0.2, "keepalive": 5.0, "max_hand_offs": 4}});
-        let changed = |over: Value| check_change(&old, &laid_over(old.clone(), over));
-        let more = json!([{"name": "r", "goal_time": 2}, {"name": "w", "goal_time": 1}]);
-        assert_eq!(
-            changed(json!({"zones": ["a", "b"], "limits": {"max_hand_offs": 2}, "use_cases": more})),
-            Ok(())
-        );
-        for (over, key) in [
-            (json!({"specifics": {"mode": "through"}}), "specifics"),
-            (json!({"limits": {"keepalive": 9.0}}), "limits.keepalive"),
-            (json!({"zones": ["b", "a"]}), "zones may grow"),
-            (json!({"use_cases": [{"name": "w", "goal_time": 1}]}), "use_cases may grow"),
-            (json!({"use_cases": []}), "use_cases"),
-            (json!({"limits": {"max_hand_offs": "2"}}), "limits.max_hand_offs"),
-        ] {
-            let why = changed(over).expect_err("refused");
-            assert!(why.contains(key), "{why}");
-        }
-    }
-
-    #[test]
-    fn a_setting_of_the_wrong_type_or_out_of_range_is_named_and_an_unknown_one_is_skipped() {
-        let well = json!({"fleet_size": 500, "weights": "live", "penalties": {"cross_zone": 0.1}, "new": [1],
-            "zones": ["a", "b"], "locality": 1, "use_cases": [{"goal_time": 0.4, "effect": "unheard of"}]});
-        assert_eq!(check(&well), Ok(()));
-        for (over, key) in [
-            (json!({"fleet_size": "500"}), "fleet_size"),
-            (json!({"fleet_size": 0}), "fleet_size"),
-            (json!({"weights": "heavy"}), "weights"),
-            (json!({"guarantees": {"ask_within": 0.1}}), "guarantees.ask_within"),
-            (json!({"guarantees": {"stop_sending_within": -1}}), "guarantees.stop_sending_within"),
-            (json!({"penalties": {"cross_zone": -0.1}}), "penalties.cross_zone"),
-            (json!({"limits": {"retry_after": 1}}), "limits.retry_after"),
-            (json!({"locality": 2}), "locality is 2, but zones has 2"),
-            (json!({"use_cases": [{"goal_time": 1, "zones_allowed": ["c"]}]}), "use_cases.zones_allowed"),
-            (json!({"use_cases": [{"goal_time": 1, "zones_allowed": "a"}]}), "use_cases.zones_allowed"),
-            (json!({"use_cases": [{"goal_time": 1, "bound_to": [0]}]}), "use_cases.bound_to"),
-            (json!({"use_cases": [{"goal_time": "soon"}]}), "use_cases.0.goal_time"),
-            (json!({"realms": [{"quota_rps": null}, {"quota_rps": []}]}), "realms.1.quota_rps"),
-        ] {
-            let wrong = check(&laid_over(well.clone(), over)).expect_err("one line");
-            assert!(wrong.contains(key) && !wrong.contains('\n'), "{wrong}");
-        }
-    }
-}
+mod tests;
