--- a/crates/flintwell-conduct/src/homes.rs
+++ b/crates/flintwell-conduct/src/homes.rs
@@ -1,7 +1,7 @@
 //! Which cache a key goes to first, under settings: asked of the decision module itself.
 
 use flintwell_core::interface::{
-    AccessId, Arrival, Ending, Host, Key, ListKind, Micros, NodeId, Outcome, Settings,
+    Arrival, Ending, Host, Key, ListKind, Micros, NodeId, Outcome, RequestId, Settings,
 };
 use flintwell_core::policy::Policy;
 use flintwell_settings::listing::Listing;
@@ -11,17 +11,17 @@
 use std::rc::Rc;
 
 const KEYS: usize = 2_000; // sampled; a share is known to some two in a hundred
-const APART: Micros = 10_000; // us between sampled accesses; no cache looks busy
+const APART: Micros = 10_000; // us between sampled requests; no cache looks busy
 const LONG_AGO: Micros = 3_600_000_000; // us; past every ramp
 
 struct First(Rc<RefCell<Option<NodeId>>>);
 
 impl Host for First {
-    fn hand_off(&mut self, _: &AccessId, node: &NodeId, _: Micros) {
+    fn attempt(&mut self, _: &RequestId, node: &NodeId, _: Micros) {
         self.0.borrow_mut().get_or_insert_with(|| node.clone());
     }
-    fn turn_back(&mut self, _: &AccessId, _: Micros) {}
-    fn break_off(&mut self, _: &AccessId) {}
+    fn refuse(&mut self, _: &RequestId, _: Micros) {}
+    fn fail(&mut self, _: &RequestId) {}
     fn close_idle(&mut self, _: &NodeId) {}
     fn wake_at(&mut self, _: u64, _: Micros) {}
     fn watch_list(&mut self) {}
@@ -45,15 +45,15 @@
     let home = |n: usize| {
         now += APART;
         first.replace(None);
-        let id = AccessId::from(format!("a{n}"));
-        let (key, outer_limit) = (Some(Key::from(format!("k{n}"))), now + 1_000_000);
+        let id = RequestId::from(format!("a{n}"));
+        let (key, deadline) = (Some(Key::from(format!("k{n}"))), now + 1_000_000);
         let arrival =
-            Arrival { id: id.clone(), use_case: case, tenant: 0, key, outer_limit, work: None, write: false };
-        policy.access_arrives(now, arrival);
+            Arrival { id: id.clone(), class: case, tenant: 0, key, deadline, work: None, write: false };
+        policy.request_arrives(now, arrival);
         let node = first.borrow().clone();
         if let Some(node) = &node {
             let outcome =
-                Outcome { number: 0, ending: Ending::Honoured, wait: 1_000, settled: true, first: false };
+                Outcome { number: 0, ending: Ending::Served, wait: 1_000, settled: true, first: false };
             policy.outcome(now + 1_000, &id, node, outcome);
         }
         node
@@ -65,10 +65,8 @@
 pub fn moved(old: &Value, new: &Value, listing: &Listing) -> Result<f64, String> {
     let of = |settings: &Value| -> Result<_, String> {
         let decoded = decode(settings)?;
-        let case = decoded
-            .use_cases
-            .iter()
-            .position(|case| case.effect == flintwell_core::interface::Effect::Replayable);
+        let case =
+            decoded.classes.iter().position(|case| case.effect == flintwell_core::interface::Effect::Safe);
         Ok(homes(decoded, case.unwrap_or(0), listing, &decode_network(settings)?))
     };
     let (old, new) = (of(old)?, of(new)?);
--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -4,18 +4,18 @@
 
 /// Whole microseconds: an instant on the host's clock, or a span.
 pub type Micros = i64;
-pub type AccessId = Arc<str>;
+pub type RequestId = Arc<str>;
 pub type NodeId = Arc<str>;
 pub type Key = Arc<str>;
 
 /// What the module may do. Each call takes effect at the instant the module was told of.
 pub trait Host {
-    /// Starts a hand-off; `allow_for` is its time-out.
-    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros);
+    /// Starts an attempt; `allow_for` is its time-out.
+    fn attempt(&mut self, request: &RequestId, node: &NodeId, allow_for: Micros);
     /// Final answer: turned away, trying again is harmless; `stay_away` is advice, 0 for none.
-    fn turn_back(&mut self, access: &AccessId, stay_away: Micros);
+    fn refuse(&mut self, request: &RequestId, stay_away: Micros);
     /// Final answer: nothing is promised about the effect.
-    fn break_off(&mut self, access: &AccessId);
+    fn fail(&mut self, request: &RequestId);
     /// Closes our idle connections to a node.
     fn close_idle(&mut self, node: &NodeId);
     /// Asks for a call of `timer` with this label at or after `at`.
@@ -26,12 +26,12 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
-    Replayable,
-    Referenced,
-    SingleUse,
+    Safe,
+    Keyed,
+    Unsafe,
 }
 
-/// Which cache nodes drop repeats of a referenced access.
+/// Which cache nodes drop repeats of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
     All,
@@ -40,14 +40,14 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct UseCase {
+pub struct Class {
     pub effect: Effect,
     pub group: Group,
     pub memory: Micros,
-    pub goal_time: Micros,
-    /// The goal time grows by this many times the access's own work.
-    pub goal_stretch: f64,
-    /// Share of the earnings still paid after the goal time.
+    pub latency_target: Micros,
+    /// The latency target grows by this many times the request's own work.
+    pub target_stretch: f64,
+    /// Share of the worth still paid after the latency target.
     pub late_share: f64,
     /// The kinds and the zones of cache nodes that it may be sent to; all where not given.
     pub kinds: Option<Vec<u32>>,
@@ -61,14 +61,14 @@
     None,
     /// The registered ones, exact or rough.
     Declared,
-    /// The registered ones, lowered the more accesses a node holds.
+    /// The registered ones, lowered the more requests a node holds.
     Live,
 }
 
 #[derive(Clone, Debug)]
 pub struct Settings {
-    pub use_cases: Vec<UseCase>,
-    /// Accesses a second within each tenant's share, over all proxies.
+    pub classes: Vec<Class>,
+    /// Requests a second within each tenant's share, over all proxies.
     pub quotas: Vec<f64>,
     /// True where a cache node that lacks a key says so and the proxy asks the origin.
     pub aside: bool,
@@ -77,10 +77,10 @@
     /// Where this proxy is.
     pub zone: u32,
     pub zones: u32,
-    /// What a hand-off to another zone costs, in earnings of an access.
+    /// What an attempt to another zone costs, in worth of a request.
     pub cross_price: f64,
     pub fleet_size: u32,
-    pub max_hand_offs: usize,
+    pub max_attempts: usize,
     /// Longest advice to stay away that clients heed; 0 where advice does not reach them.
     pub max_stay_away: Micros,
     /// True where the list answers only when asked.
@@ -91,7 +91,7 @@
     pub ramp_time: Micros,
     /// The most by which a listed start may be off, either way.
     pub start_drift: Micros,
-    /// What an open connection a cache node costs, in new connections an access; 0 where they cost nothing.
+    /// What an open connection a cache node costs, in new connections a request; 0 where they cost nothing.
     pub connection_price: f64,
     /// How long a cold node can be pushed before it falls.
     pub fall: Micros,
@@ -130,29 +130,29 @@
     pub started_at: Micros,
 }
 
-/// An access as it arrives.
+/// A request as it arrives.
 #[derive(Clone, Debug)]
 pub struct Arrival {
-    pub id: AccessId,
-    pub use_case: usize,
+    pub id: RequestId,
+    pub class: usize,
     pub tenant: usize,
     pub key: Option<Key>,
-    pub outer_limit: Micros,
+    pub deadline: Micros,
     /// Expected work on a standard core, where hinted.
     pub work: Option<Micros>,
     pub write: bool,
 }
 
-/// How a hand-off ended.
+/// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
-    Honoured,
+    Served,
     Error,
     Full,
     TimedOut,
     ConnectFailed,
     Reset,
-    CalledOff,
+    Cancelled,
     NotSent,
     Miss,
     /// An answer came that makes no sense: it may have run, and nothing is learned of load.
@@ -172,7 +172,7 @@
     pub number: usize,
     pub ending: Ending,
     pub wait: Micros,
-    /// The access is over, by this outcome or before it.
+    /// The request is over, by this outcome or before it.
     pub settled: bool,
     /// It was the first on a connection opened for it, as far as the host can tell.
     pub first: bool,
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -13,30 +13,30 @@
 const PROBES: u64 = 4_096; // slots a key looks at for its caches at most; finds even a fleet's only one
 const RANKS: usize = 4; // caches a key's reads may ask: home, spare and two more for when those are out
 const RANKS_HOT: usize = 16; // caches that reads of a hot key take turns at, at most
-const SPILL_FLOOR: u32 = 2; // own accesses in flight at the home before the spare is thought of
+const SPILL_FLOOR: u32 = 2; // own requests in flight at the home before the spare is thought of
 const SPILL_FACTOR: f64 = 2.0; // times our mean per cache that the home must exceed as well
-const HEAT_FADE: Micros = 20_000_000; // us; how long an access counts for its key's heat: some tens of ours
-const THIN: f64 = 10.0; // own accesses a cache within it; under it a cache is met every few seconds
+const HEAT_FADE: Micros = 20_000_000; // us; how long a request counts for its key's heat: some tens of ours
+const THIN: f64 = 10.0; // own requests a cache within it; under it a cache is met every few seconds
 const HEATS: usize = 512; // counts of heat by key; far more than a proxy that needs them asks for meanwhile
 const SERVED_WINDOW: Micros = 5_000_000; // us; through mode: how long an answer vouches for a kept copy
 const MAX_KEYS: usize = 8_192; // joins; bounds memory, far above the fetches one proxy can have out
-const FIRST_SHARE: f64 = 0.125; // of the shortest goal time: assumed answer time before any was seen
+const FIRST_SHARE: f64 = 0.125; // of the shortest latency target: assumed answer time before any was seen
 const SMOOTHING: f64 = 0.1; // weight of a new time; some ten answers make an average
 const NODE_SMOOTHING: f64 = 0.2; // the same for what is heard more seldom: one node, a second's arrivals
 const ESTIMATE_AGE: f64 = 5_000_000.0; // us; from then on one new answer counts more than all before it
 const ORIGIN_AGE: f64 = 2_000_000.0; // us; the same for the origin's answers, of which all misses depend
 const PATIENCE: f64 = 6.0; // mean deviations above the mean before an answer counts as overdue
-const PATIENCE_FLOOR: f64 = 0.3; // of the goal time; under this an early give-up costs more than it saves
-const BEARABLE: f64 = 0.22; // of its goal time; a node that takes so much over its least is passed over
-const FULL_USED: f64 = 0.7; // of the goal time; what a refusal counts for: the spare may still answer in time
+const PATIENCE_FLOOR: f64 = 0.3; // of the target; under this an early give-up costs more than it saves
+const BEARABLE: f64 = 0.22; // of its latency target; a node that takes so much over its least is passed over
+const FULL_USED: f64 = 0.7; // of the target; what a refusal counts for: the spare may still answer in time
 const FULL_SHARE: f64 = 0.3; // of the mean answer time; a full node is passed over while a place frees up
 const SKIP_FIRST: Micros = 300_000; // us; first spell without a suspected node: a few answer times
 const SKIP_DOUBLINGS: u32 = 4; // at most 16 times the first spell, so a node's return is seen in seconds
 const ZONE_SILENT: u32 = 3; // nodes in a row with none heard; by chance hardly, while a zone is there
-const FAULTY: f64 = 0.3; // share of a node's hand-offs that come to nothing; from then on each is a strike
-const FORGOTTEN: Micros = 60_000_000; // us; since a gone node's last access; far longer than any lasts
+const FAULTY: f64 = 0.3; // share of a node's attempts that come to nothing; from then on each is a strike
+const FORGOTTEN: Micros = 60_000_000; // us; since a gone node's last request; far longer than any lasts
 const FETCHES_FIRST: f64 = 4.0; // fetches out; start value, before the origin's answers teach better
-const FETCHES_LEAST: f64 = 0.1; // hand-offs out; under one they are spaced out; many share a weak origin
+const FETCHES_LEAST: f64 = 0.1; // attempts out; under one they are spaced out; many share a weak origin
 const FETCHES_CUT: f64 = 0.8; // factor on a limit at a sign of strain, at most once an answer time
 const WRITE_ROOM: f64 = 2.0; // times the limit on fetches up to which writes pass at once
 const REFUSES: f64 = 0.3; // share the origin refused lately; above it, it is sent half again what it can
@@ -46,9 +46,9 @@
 const GRANT_AHEAD: Micros = 200_000; // us; a grant's fetches may come so much before their turn, as bursts do
 const PAUSE: f64 = 0.5; // of the origin's mean answer time; before a fetch refused for a moment is made again
 const FETCH_SLOW: f64 = 3.0; // times the origin's best that its answers may take before it counts as strained
-const FETCH_BEARABLE: f64 = 0.5; // of the shortest goal time; quicker answers are worth having, however slow
-const CROWDED: f64 = 0.4; // of its goal time that a cache answer takes on the mean; above it they are crowded
-const NOT_TAKEN: f64 = 2.0; // of its goal time; what an access counts for that no cache took
+const FETCH_BEARABLE: f64 = 0.5; // of the shortest target; quicker answers are worth having, however slow
+const CROWDED: f64 = 0.4; // of its target that a cache answer takes on the mean; above it they are crowded
+const NOT_TAKEN: f64 = 2.0; // of its latency target; what a request counts for that no cache took
 const CROWDED_SURPLUS: f64 = 0.13; // the same for surplus, which makes way well before the rest suffers
 const CONTROL: Micros = 100_000; // us; between steps of the share admitted: an answer time or so
 const STEPS_MOST: i64 = 20; // steps made up for at one answer after a silence
@@ -60,22 +60,22 @@
 const TURN: Micros = 250_000; // us; a proxy's turn at a fresh node, long enough for keys to settle
 const TURN_GROUPS: u32 = 4; // of hundreds of proxies, each with its turn; a quarter is about a cold share
 const TURNS_SHARE: f64 = 0.25; // of the ramp time: how long proxies take turns at a fresh node
-const HELD: f64 = 2.0; // accesses a core that a node holds while it still answers well within a goal time
+const HELD: f64 = 2.0; // requests a core that a node holds while it still answers well within a target
 const LEAVE_MOST: f64 = 2.0; // the most by which one list divides the share of reads that a node keeps
 const LEAVE_FALL: f64 = 0.05; // added to it by a list with less; back in full within some lists
 const SPEED_SMOOTHING: f64 = 0.005; // weight of a new answer time of a kind; hundreds make an average
 const SPEED_KNOWN: u32 = 100; // answers of a kind before it is told from others
 const SPEED_STEPS: f64 = 4.0; // steps for a factor of two in speed, which is the most that counts
 const SPEED_MARGIN: f64 = 0.75; // steps off before a kind's changes
-const COPY_PRICE: f64 = 0.012; // of an access's earnings; what one more copy of all keys costs in misses
+const COPY_PRICE: f64 = 0.012; // of a request's worth; what one more copy of all keys costs in misses
 const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
 const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes twice that
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
 const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most; none need be refused
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 2; // doublings of that wait; a change counts as told 6 s after it could be
-const STAY_AWAY: Micros = 500_000; // us; advice with a turn-back: about a queue's drain time
-const ALLOWANCE_LEAST: f64 = 5.0; // accesses an allowance holds at least: a part may be under one a second
+const STAY_AWAY: Micros = 500_000; // us; advice with a refusal: about a queue's drain time
+const ALLOWANCE_LEAST: f64 = 5.0; // requests an allowance holds at least: a part may be under one a second
 const SHARE_ROOM: f64 = 1.3; // times our part of a share that passes as within it, as parts are guesses
 const WAKE: u64 = 0; // the one timer label
 
@@ -84,7 +84,7 @@
     host: H,
     rng: ChaCha8Rng,
     settings: Settings,
-    accesses: Accesses,
+    requests: Requests,
     joins: BTreeMap<Key, Join>,
     nodes: Nodes,
     zones: BTreeMap<u32, Zone>,
@@ -109,16 +109,16 @@
         // Danger: a fleet that starts as one asks as one; each call late in the queue fails, and comes again.
         let most = (settings.ask_within as f64 * LIST_FIRST) as Micros;
         let spread = rng.random_range(0..=most.min(LIST_SPREAD * i64::from(settings.fleet_size)));
-        let shortest = shortest_goal(&settings);
+        let shortest = shortest_target(&settings);
         let times = Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
-        let places = Places::new(&settings.use_cases);
+        let places = Places::new(&settings.classes);
         Policy {
             host,
             rng,
             tenants: settings.quotas.iter().map(|_| Tenant { allowance: 1.0, filled_at: now }).collect(),
             list_due: if settings.list_on_request { now + spread } else { Micros::MAX },
             settings,
-            accesses: Accesses::default(),
+            requests: Requests::default(),
             joins: BTreeMap::new(),
             nodes: Nodes::default(),
             zones: BTreeMap::new(),
@@ -137,42 +137,43 @@
     /// Other settings from now on; names that they share keep their places. What was learned stays, and the
     /// list is told next. Danger: a fleet that forgets its origin's limit at a change strains it as one.
     pub fn change(&mut self, now: Micros, mut settings: Settings) {
-        // Those in hand end under what they began with; their use cases stand behind the new ones meanwhile.
-        self.origin.bearable = shortest_goal(&settings) * FETCH_BEARABLE;
-        let cases = &mut settings.use_cases;
-        let in_hand: BTreeSet<usize> = self.accesses.values().map(|access| access.use_case).collect();
+        // Those in hand end under what they began with; their classes stand behind the new ones meanwhile.
+        self.origin.bearable = shortest_target(&settings) * FETCH_BEARABLE;
+        let cases = &mut settings.classes;
+        let in_hand: BTreeSet<usize> = self.requests.values().map(|request| request.class).collect();
         let moved: BTreeMap<usize, usize> = in_hand.into_iter().zip(cases.len()..).collect();
-        cases.extend(moved.keys().map(|&old| self.settings.use_cases[old].clone()));
-        self.accesses.values_mut().for_each(|access| access.use_case = moved[&access.use_case]);
+        cases.extend(moved.keys().map(|&old| self.settings.classes[old].clone()));
+        self.requests.values_mut().for_each(|request| request.class = moved[&request.class]);
         let known = self.tenants.len();
         let fresh = |_| Tenant { allowance: 1.0, filled_at: now };
         self.tenants.extend((known..settings.quotas.len()).map(fresh));
-        self.places = Places::new(&settings.use_cases);
+        self.places = Places::new(&settings.classes);
         self.settings = settings;
         self.nodes.iter_mut().for_each(|node| node.places = self.places.holding(&node.entry));
         self.build_slots();
         self.upkeep(now);
     }
 
-    /// A client's access arrives.
-    pub fn access_arrives(&mut self, now: Micros, arrival: Arrival) {
-        let Some(case) = self.settings.use_cases.get(arrival.use_case) else {
-            return self.host.break_off(&arrival.id);
+    /// A client's request arrives.
+    pub fn request_arrives(&mut self, now: Micros, arrival: Arrival) {
+        let Some(case) = self.settings.classes.get(arrival.class) else {
+            return self.host.fail(&arrival.id);
         };
-        let goal = now + case.goal_time + (case.goal_stretch * arrival.work.unwrap_or(0) as f64) as Micros;
-        let useful = if case.late_share > 0.0 { arrival.outer_limit } else { goal.min(arrival.outer_limit) };
+        let target =
+            now + case.latency_target + (case.target_stretch * arrival.work.unwrap_or(0) as f64) as Micros;
+        let useful = if case.late_share > 0.0 { arrival.deadline } else { target.min(arrival.deadline) };
         let (id, tenant, write) = (arrival.id.clone(), arrival.tenant, arrival.write);
-        let access = Access::new(arrival, now, useful, self.settings.max_hand_offs, self.rng.random());
-        let key = access.key.clone();
-        self.heat.add(now, HEAT_FADE, access.slot);
-        self.accesses.insert(id.clone(), access);
-        let late = self.caches.goal_used.mean >= 1.0;
+        let request = Request::new(arrival, now, useful, self.settings.max_attempts, self.rng.random());
+        let key = request.key.clone();
+        self.heat.add(now, HEAT_FADE, request.slot);
+        self.requests.insert(id.clone(), request);
+        let late = self.caches.target_used.mean >= 1.0;
         let shut = self.rng.random::<f64>() >= self.caches.admit.now;
         if self.surplus(now, tenant, &id) {
             self.give_up(now, &id);
         } else if write {
             self.write_passes(now, &id, &key);
-        } else if shut && (late || self.target(now, &id).is_none_or(|n| n.goal_used.mean >= CROWDED)) {
+        } else if shut && (late || self.target(now, &id).is_none_or(|n| n.target_used.mean >= CROWDED)) {
             // Danger: crowded nodes answer late; by the mean a few hot ones would shut idle ones, too.
             if self.may_fetch(now) { self.fetch(now, &id) } else { self.give_up(now, &id) }
         } else if self.settings.aside {
@@ -182,11 +183,11 @@
         }
     }
 
-    /// A hand-off ended.
-    pub fn outcome(&mut self, now: Micros, id: &AccessId, node: &NodeId, outcome: Outcome) {
+    /// An attempt ended.
+    pub fn outcome(&mut self, now: Micros, id: &RequestId, node: &NodeId, outcome: Outcome) {
         let Some(node) = self.nodes.find(node) else { return };
-        let goal = self.accesses.get(id).map(|a| self.settings.use_cases[a.use_case].goal_time as f64);
-        self.observe(now, node, &outcome, goal);
+        let target = self.requests.get(id).map(|a| self.settings.classes[a.class].latency_target as f64);
+        self.observe(now, node, &outcome, target);
         // Danger: what hundreds keep open fills a node's table, or an origin's. What hardly pays is cut.
         let worth = self.settings.connection_price * f64::from(self.settings.fleet_size);
         let asked = self.nodes[node].asked.now(now, HEAT_FADE) - 1.0;
@@ -196,7 +197,7 @@
         }
         // Danger: a list that tells no speeds has slow kinds drown in their part while fast ones idle. Steps
         // are coarse, so that all proxies come to one table, and homes hardly move.
-        if outcome.ending == Ending::Honoured && !self.of_origin(node) && self.settings.sizes != Sizes::Live {
+        if outcome.ending == Ending::Served && !self.of_origin(node) && self.settings.sizes != Sizes::Live {
             let all = self.speeds.learn(outcome.wait, SPEED_SMOOTHING);
             let kind = self.kinds.entry(self.nodes[node].entry.kind).or_default();
             let steps = kind.faster(all, outcome.wait, SPEED_SMOOTHING) * SPEED_STEPS;
@@ -205,11 +206,11 @@
                 self.build_slots();
             }
         }
-        let hand_off = self.accesses.get_mut(id).and_then(|a| a.hand_offs.get_mut(outcome.number));
-        // A late answer of an access that is over only teaches, and makes room at the origin.
-        if hand_off.is_some_and(|h| h.ending.replace(outcome.ending).is_none()) {
+        let attempt = self.requests.get_mut(id).and_then(|a| a.attempts.get_mut(outcome.number));
+        // A late answer of a request that is over only teaches, and makes room at the origin.
+        if attempt.is_some_and(|h| h.ending.replace(outcome.ending).is_none()) {
             match outcome.ending {
-                ending if outcome.settled => self.finish(now, id, ending == Ending::Honoured, node),
+                ending if outcome.settled => self.finish(now, id, ending == Ending::Served, node),
                 Ending::Miss => self.missed(now, id, node),
                 // Danger: an origin at its limit would be asked again by all; a spoilt answer tells of none.
                 Ending::Spoilt | Ending::Reset if Some(node) == self.origin.node => self.fetch(now, id),
@@ -225,7 +226,7 @@
     }
 
     /// The client has left, its answer has begun to stream, or it is over otherwise; nothing more is owed.
-    pub fn access_gone(&mut self, now: Micros, id: &AccessId) {
+    pub fn request_gone(&mut self, now: Micros, id: &RequestId) {
         let next = self.next_lead(id);
         self.finish(now, id, false, 0);
         next.inspect(|next| self.alone(now, next));
@@ -263,7 +264,7 @@
     }
 
     /// Fetches a second that the fleet grants us at the origin from now on; none: no limit. Answers how many
-    /// accesses were to be fetched there so far, whether or not it had room.
+    /// requests were to be fetched there so far, whether or not it had room.
     pub fn granted(&mut self, now: Micros, rate: Option<f64>) -> u64 {
         self.origin.apart = rate.map_or(0, |rate| (1e6 / rate.max(1e-3)) as Micros);
         self.origin.turn = self.origin.turn.min(now + GRANT_AHEAD + self.origin.apart);
@@ -369,10 +370,10 @@
         self.nodes[n].entry.standing == Standing::Ready && !self.of_origin(n)
     }
 
-    /// Whether a cache node may get an access of this slot now.
+    /// Whether a cache node may get a request of this slot now.
     fn takes(&self, now: Micros, n: usize, lot: Option<u64>) -> bool {
         let node = &self.nodes[n];
-        // Danger: a node that comes back wrongly trusted swallows a burst; it is risked one access at a time.
+        // Danger: a node that comes back wrongly trusted swallows a burst; one request at a time is risked.
         let zone = self.zones.get(&node.entry.zone).is_none_or(|z| now >= z.tried_at + z.spell);
         let trusted = zone && now >= node.skip_until && (node.strikes == 0 || node.in_flight == 0);
         let warmth = node.warmth(now, self.settings.start_capacity, self.settings.ramp_time);
@@ -410,19 +411,19 @@
         lately(&node.sent) < if self.thin(now) { most + 1.0 } else { (most + turn).floor() }
     }
 
-    fn target(&self, now: Micros, id: &AccessId) -> Option<&Node> {
-        self.choose(now, self.accesses.get(id)?).ok().map(|n| &self.nodes[n])
+    fn target(&self, now: Micros, id: &RequestId) -> Option<&Node> {
+        self.choose(now, self.requests.get(id)?).ok().map(|n| &self.nodes[n])
     }
 
-    /// The home, or the spare when the home has more than its part of our own accesses in flight. An
+    /// The home, or the spare when the home has more than its part of our own requests in flight. An
     /// error of false: the origin may stand in for them, as none takes the key at all or the origin has room.
-    fn choose(&self, now: Micros, access: &Access) -> Result<usize, bool> {
-        // Danger: the spare may lack the key; with no room at the origin its miss would become a turn-back.
+    fn choose(&self, now: Micros, request: &Request) -> Result<usize, bool> {
+        // Danger: the spare may lack the key; with no room at the origin its miss would become a refusal.
         let room = self.origin.node.is_none_or(|o| self.origin_has_room(now, o, false));
         // Danger: hundreds of proxies each have none of their own in flight at a hot key's home, which all
         // crowd together. What we asked lately stands for it: such a key's reads take turns at more ranks.
         let thin = self.thin(now);
-        let own = self.heat.of(access.slot).now(now, HEAT_FADE);
+        let own = self.heat.of(request.slot).now(now, HEAT_FADE);
         let mean = self.mean_heat(now);
         let hot = thin && own >= f64::from(SPILL_FLOOR) && own > SPILL_FACTOR * mean;
         let reach = if hot { (own / mean).ceil().min(RANKS_HOT as f64) as usize } else { 1 };
@@ -432,10 +433,10 @@
         // Danger: a cold node is pushed over by a hot key, which alone brings as much as its others, or by
         // what others refused. It gets a part of the keys by slots; where each of many asks for a key too
         // seldom to know it for hot, a part of the reads by a lot of their own.
-        let lot = if thin { access.turn } else { access.slot };
+        let lot = if thin { request.turn } else { request.slot };
         let takes = |&(rank, n): &(usize, usize)| self.takes(now, n, (rank == 0 && !hot).then_some(lot));
-        let slots = self.slots.get(self.places.of(access.use_case)).ok_or(false)?;
-        let mut ranks: Vec<usize> = slots.ranks::<RANKS_HOT>(access.slot, PROBES).collect();
+        let slots = self.slots.get(self.places.of(request.class)).ok_or(false)?;
+        let mut ranks: Vec<usize> = slots.ranks::<RANKS_HOT>(request.slot, PROBES).collect();
         // Our home is the key's first cache in our zone, where crossings cost more than a copy in each zone.
         let near = |&n: &usize| self.nodes[n].entry.zone == self.settings.zone;
         if self.settings.cross_price > COPY_PRICE * f64::from(self.settings.zones) {
@@ -446,19 +447,19 @@
         let mut there: Vec<usize> = ranks.map(|(_, n)| n).take(reach.max(deep)).collect();
         let turns = reach.min(there.len());
         let first = &mut there[..turns];
-        first.rotate_left(access.turn as usize % first.len().max(1));
+        first.rotate_left(request.turn as usize % first.len().max(1));
         // Where several hold the key, one nearby answers sooner and crosses no zones.
         first.sort_by_key(|&n| self.nodes[n].entry.zone != self.settings.zone);
-        let bearable = self.settings.use_cases[access.use_case].goal_time as f64 * BEARABLE;
+        let bearable = self.settings.classes[request.class].latency_target as f64 * BEARABLE;
         let mut open = there.iter().copied().filter(|&n| {
             let node = &self.nodes[n];
             // Danger: by the way to another zone alone an idle node seems crowded. Hundreds know no least.
             let slow = node.time.mean - if thin { 0.0 } else { node.least };
             // Danger: a crowded node is sent more than it answers in time; one tries with none of ours out,
             // of hundreds only as many as its time allows.
-            let tries = || node.in_flight == 0 && unit(draw(access.turn, n as u64)) < bearable / slow;
-            let left = unit(draw(access.turn, !(n as u64))) < node.leave;
-            !access.tried(n) && now >= node.full_until && !left && (slow < bearable || tries())
+            let tries = || node.in_flight == 0 && unit(draw(request.turn, n as u64)) < bearable / slow;
+            let left = unit(draw(request.turn, !(n as u64))) < node.leave;
+            !request.tried(n) && now >= node.full_until && !left && (slow < bearable || tries())
         });
         // Danger: what finds two busy nodes is lost to a moment's crowd while an idle origin could answer it.
         let home = open.next().ok_or(!there.is_empty() && !room)?;
@@ -470,28 +471,28 @@
         Ok(open.next().filter(|&spare| self.nodes[spare].in_flight < load).unwrap_or(home))
     }
 
-    fn ask_cache(&mut self, now: Micros, id: &AccessId) {
-        let Some(access) = self.accesses.get(id) else { return };
-        let fetches = self.settings.aside && !access.write;
-        let last = access.hand_offs.len() + 1 == access.hand_offs_most;
-        match self.choose(now, access) {
-            // Danger: a miss that draws the last hand-off has none left for the fetch.
+    fn ask_cache(&mut self, now: Micros, id: &RequestId) {
+        let Some(request) = self.requests.get(id) else { return };
+        let fetches = self.settings.aside && !request.write;
+        let last = request.attempts.len() + 1 == request.attempts_most;
+        match self.choose(now, request) {
+            // Danger: a miss that draws the last attempt has none left for the fetch.
             Ok(_) if last && fetches && self.may_fetch(now) => self.fetch(now, id),
-            Ok(node) => self.hand_off(now, id, node),
+            Ok(node) => self.attempt(now, id, node),
             Err(false) if fetches => self.fetch(now, id),
             Err(_) => {
-                (!access.hand_offs.is_empty()).then(|| self.feel(now, NOT_TAKEN));
+                (!request.attempts.is_empty()).then(|| self.feel(now, NOT_TAKEN));
                 self.give_up(now, id);
             }
         }
     }
 
     /// Writes pass at once; they end the key's join and served window. Those held join the fetch made after.
-    fn write_passes(&mut self, now: Micros, id: &AccessId, key: &Key) {
+    fn write_passes(&mut self, now: Micros, id: &RequestId, key: &Key) {
         let join = self.joins.remove(key).unwrap_or_default();
         self.alone(now, id);
         for follower in join.followers {
-            self.accesses.unhold(&follower);
+            self.requests.unhold(&follower);
             match self.settings.aside {
                 true => self.missed(now, &follower, join.node),
                 false => self.read_through(now, &follower, key.clone()),
@@ -499,14 +500,14 @@
         }
     }
 
-    fn read_through(&mut self, now: Micros, id: &AccessId, key: Key) {
+    fn read_through(&mut self, now: Micros, id: &RequestId, key: Key) {
         match self.joins.get(&key) {
             Some(join) if join.leader.is_some() => self.follow(now, id, key),
             Some(join) if now - join.served_at < SERVED_WINDOW => self.ask_cache(now, id),
             _ => {
-                if let Some(Ok(node)) = self.accesses.get(id).map(|a| self.choose(now, a)) {
+                if let Some(Ok(node)) = self.requests.get(id).map(|a| self.choose(now, a)) {
                     self.lead(now, id, key, node);
-                    return self.hand_off(now, id, node);
+                    return self.attempt(now, id, node);
                 }
                 self.give_up(now, id);
             }
@@ -514,11 +515,11 @@
     }
 
     /// Aside mode: the first miss leads, later ones follow.
-    fn missed(&mut self, now: Micros, id: &AccessId, node: usize) {
-        let Some(access) = self.accesses.get_mut(id) else { return };
-        access.missed_at = Some(node);
-        let key = access.key.clone();
-        if access.write || !self.settings.aside {
+    fn missed(&mut self, now: Micros, id: &RequestId, node: usize) {
+        let Some(request) = self.requests.get_mut(id) else { return };
+        request.missed_at = Some(node);
+        let key = request.key.clone();
+        if request.write || !self.settings.aside {
             return self.ask_cache(now, id);
         }
         if self.joins.contains_key(&key) {
@@ -528,7 +529,7 @@
         self.fetch(now, id);
     }
 
-    fn lead(&mut self, now: Micros, id: &AccessId, key: Key, node: usize) {
+    fn lead(&mut self, now: Micros, id: &RequestId, key: Key, node: usize) {
         if self.joins.len() >= MAX_KEYS {
             self.joins.retain(|_, j| j.leader.is_some() || now - j.served_at < SERVED_WINDOW);
         } else {
@@ -536,10 +537,10 @@
         }
     }
 
-    /// Holds the access until the leader is done, or goes alone with half of its useful time left.
-    fn follow(&mut self, now: Micros, id: &AccessId, key: Key) {
-        let Some(access) = self.accesses.get(id) else { return };
-        let release = access.arrived + (access.useful_until - access.arrived) / 2;
+    /// Holds the request until the leader is done, or goes alone with half of its useful time left.
+    fn follow(&mut self, now: Micros, id: &RequestId, key: Key) {
+        let Some(request) = self.requests.get(id) else { return };
+        let release = request.arrived + (request.useful_until - request.arrived) / 2;
         if release <= now {
             return self.alone(now, id);
         }
@@ -550,18 +551,18 @@
     }
 
     /// Danger: those held for one whose client has left would each fetch the key; the first of them leads on.
-    fn next_lead(&mut self, id: &AccessId) -> Option<AccessId> {
+    fn next_lead(&mut self, id: &RequestId) -> Option<RequestId> {
         let join =
-            self.joins.get_mut(&self.accesses.get(id)?.key).filter(|j| j.leader.as_ref() == Some(id))?;
-        join.followers.retain(|follower| self.accesses.contains_key(follower));
+            self.joins.get_mut(&self.requests.get(id)?.key).filter(|j| j.leader.as_ref() == Some(id))?;
+        join.followers.retain(|follower| self.requests.contains_key(follower));
         let next = join.followers.first().cloned()?;
         join.followers.remove(0);
         join.leader = Some(next.clone());
-        self.accesses.unhold(&next);
+        self.requests.unhold(&next);
         Some(next)
     }
 
-    fn alone(&mut self, now: Micros, id: &AccessId) {
+    fn alone(&mut self, now: Micros, id: &RequestId) {
         if self.settings.aside { self.fetch(now, id) } else { self.ask_cache(now, id) }
     }
 
@@ -578,13 +579,13 @@
     }
 
     /// To the origin, now or when one of those out has ended.
-    fn fetch(&mut self, now: Micros, id: &AccessId) {
+    fn fetch(&mut self, now: Micros, id: &RequestId) {
         let Some(origin) = self.origin.node else { return self.give_up(now, id) };
         self.origin.wanted += 1;
-        let Some(access) = self.accesses.get(id) else { return };
-        let (until, expected, write) = (access.useful_until, self.origin.times.expected(), access.write);
+        let Some(request) = self.requests.get(id) else { return };
+        let (until, expected, write) = (request.useful_until, self.origin.times.expected(), request.write);
         if self.origin_has_room(now, origin, write) {
-            return self.hand_off(now, id, origin);
+            return self.attempt(now, id, origin);
         }
         // Danger: an origin that goes on with work nobody waits for stays full of it, repeated writes too.
         let ahead = if write { 1.0 } else { (self.origin.queue.len() + 1) as f64 } / self.origin.pace();
@@ -596,9 +597,9 @@
         self.hold(id, Role::Queued, until - expected);
     }
 
-    /// Danger: an origin full for a moment cost each access that it refused, though it had room soon after.
+    /// Danger: an origin full for a moment cost each request that it refused, though it had room soon after.
     /// One that refuses many is left alone. The pause differs, so that those refused together come apart.
-    fn fetch_again(&mut self, now: Micros, id: &AccessId, first: bool) {
+    fn fetch_again(&mut self, now: Micros, id: &RequestId, first: bool) {
         let out = self.origin.node.map_or(0, |o| self.nodes[o].in_flight);
         self.origin.full_until = if first { now + ESTIMATE_AGE as Micros } else { self.origin.full_until };
         if first && out > 0 {
@@ -608,7 +609,7 @@
             return self.fetch(now, id);
         }
         let pause = (self.origin.times.mean * PAUSE * self.rng.random_range(0.5..1.5)) as Micros;
-        let until = self.accesses.get(id).map_or(0, |access| access.useful_until);
+        let until = self.requests.get(id).map_or(0, |request| request.useful_until);
         if self.origin.refused.mean > REFUSES || now + pause + self.origin.times.expected() > until {
             return self.give_up(now, id);
         }
@@ -617,63 +618,63 @@
 
     fn fetch_queued(&mut self, now: Micros) {
         while let (Some(origin), Some(id)) = (self.origin.node, self.origin.queue.front().cloned()) {
-            let queued = self.accesses.get(&id).filter(|a| a.role == Role::Queued).map(|a| a.write);
+            let queued = self.requests.get(&id).filter(|a| a.role == Role::Queued).map(|a| a.write);
             if queued.is_some_and(|write| !self.origin_has_room(now, origin, write)) {
                 return;
             }
             self.origin.queue.pop_front();
             if queued.is_some() {
-                self.accesses.unhold(&id);
-                self.hand_off(now, &id, origin);
+                self.requests.unhold(&id);
+                self.attempt(now, &id, origin);
             }
         }
     }
 
-    // The rules, checked at one place just before a hand-off or a turn-back.
-    fn may_hand_off(&self, now: Micros, access: &Access, n: usize) -> bool {
-        let case = &self.settings.use_cases[access.use_case];
+    // The rules, checked at one place just before an attempt or a refusal.
+    fn may_attempt(&self, now: Micros, request: &Request, n: usize) -> bool {
+        let case = &self.settings.classes[request.class];
         let node = &self.nodes[n];
-        let over = now >= access.outer_limit || access.hand_offs.len() >= access.hand_offs_most;
-        let out = access.hand_offs.iter().any(|h| h.ending.is_none());
+        let over = now >= request.deadline || request.attempts.len() >= request.attempts_most;
+        let out = request.attempts.iter().any(|h| h.ending.is_none());
         // Danger: a follower is handed to the cache that its leader missed at, which may be closed to it.
-        let open = self.of_origin(n) || node.open_to(self.places.of(access.use_case));
+        let open = self.of_origin(n) || node.open_to(self.places.of(request.class));
         if over || out || !open || node.entry.standing != Standing::Ready {
             return false;
         }
-        let Some(first) = access.may_have_run() else { return true };
+        let Some(first) = request.may_have_run() else { return true };
         match case.effect {
-            Effect::Replayable => true,
-            Effect::SingleUse => false,
+            Effect::Safe => true,
+            Effect::Unsafe => false,
             // Danger: a repeat that waits for its connection may begin when its window is over.
-            Effect::Referenced if now + self.settings.dial_within >= first.sent_at + case.memory => false,
-            Effect::Referenced => node.in_group(&self.nodes[first.node], case.group),
+            Effect::Keyed if now + self.settings.dial_within >= first.sent_at + case.memory => false,
+            Effect::Keyed => node.in_group(&self.nodes[first.node], case.group),
         }
     }
 
-    fn may_turn_back(&self, now: Micros, access: &Access) -> bool {
-        let case = &self.settings.use_cases[access.use_case];
-        match access.may_have_run() {
-            Some(first) if case.effect == Effect::Referenced => {
+    fn may_refuse(&self, now: Micros, request: &Request) -> bool {
+        let case = &self.settings.classes[request.class];
+        match request.may_have_run() {
+            Some(first) if case.effect == Effect::Keyed => {
                 case.group == Group::All && first.ending.is_some() && now < first.sent_at + case.memory
             }
-            Some(_) => case.effect == Effect::Replayable,
+            Some(_) => case.effect == Effect::Safe,
             None => true,
         }
     }
 
-    fn hand_off(&mut self, now: Micros, id: &AccessId, n: usize) {
-        let Some(access) = self.accesses.get(id) else { return };
+    fn attempt(&mut self, now: Micros, id: &RequestId, n: usize) {
+        let Some(request) = self.requests.get(id) else { return };
         let at_origin = Some(n) == self.origin.node;
         let times = if at_origin { &self.origin.times } else { &self.caches.times };
-        let left = access.useful_until - now;
-        // A further hand-off only if the time left exceeds what it is expected to take.
-        let least = if access.hand_offs.is_empty() { 0 } else { times.expected() };
-        if left <= least || !self.may_hand_off(now, access, n) {
+        let left = request.useful_until - now;
+        // A further attempt only if the time left exceeds what it is expected to take.
+        let least = if request.attempts.is_empty() { 0 } else { times.expected() };
+        if left <= least || !self.may_attempt(now, request, n) {
             return self.give_up(now, id);
         }
-        let floor = self.settings.use_cases[access.use_case].goal_time as f64 * PATIENCE_FLOOR;
+        let floor = self.settings.classes[request.class].latency_target as f64 * PATIENCE_FLOOR;
         let patience = (times.mean + PATIENCE * times.deviation).max(floor) as Micros;
-        let allow_for = if at_origin || access.write { left } else { patience.min(left) };
+        let allow_for = if at_origin || request.write { left } else { patience.min(left) };
         let node = &mut self.nodes[n];
         node.sent.add(now, self.settings.fall);
         node.asked.add(now, HEAT_FADE);
@@ -682,52 +683,52 @@
             self.origin.turn = self.origin.turn.max(now) + self.origin.apart;
             self.origin.after = now + (self.origin.times.mean / self.origin.most.min(1.0)) as Micros;
         } else {
-            // One access tries a zone that fell silent; the next waits for what became of it.
+            // One request tries a zone that fell silent; the next waits for what became of it.
             if let Some(zone) = self.zones.get_mut(&node.entry.zone).filter(|zone| zone.spell > 0) {
                 zone.tried_at = now;
             }
             self.caches.in_flight += 1;
             self.caches.sent.add(now, self.settings.fall);
         }
-        self.host.hand_off(id, &node.entry.node, allow_for);
-        if let Some(access) = self.accesses.get_mut(id) {
-            access.hand_offs.push(HandOff { node: n, sent_at: now, ending: None });
+        self.host.attempt(id, &node.entry.node, allow_for);
+        if let Some(request) = self.requests.get_mut(id) {
+            request.attempts.push(Attempt { node: n, sent_at: now, ending: None });
         }
     }
 
-    fn give_up(&mut self, now: Micros, id: &AccessId) {
-        let Some(access) = self.accesses.get(id) else { return };
-        match self.may_turn_back(now, access) {
-            true => self.host.turn_back(id, STAY_AWAY.min(self.settings.max_stay_away)),
-            false => self.host.break_off(id),
+    fn give_up(&mut self, now: Micros, id: &RequestId) {
+        let Some(request) = self.requests.get(id) else { return };
+        match self.may_refuse(now, request) {
+            true => self.host.refuse(id, STAY_AWAY.min(self.settings.max_stay_away)),
+            false => self.host.fail(id),
         }
         self.finish(now, id, false, 0);
     }
 
-    /// The access is over; where it led, its followers go to its cache, or each alone.
-    fn finish(&mut self, now: Micros, id: &AccessId, honoured: bool, node: usize) {
-        self.accesses.unhold(id);
-        let Some(access) = self.accesses.remove(id) else { return };
-        let node = access.missed_at.unwrap_or(node);
-        if self.joins.get(&access.key).and_then(|j| j.leader.as_ref()) != Some(id) {
+    /// The request is over; where it led, its followers go to its cache, or each alone.
+    fn finish(&mut self, now: Micros, id: &RequestId, served: bool, node: usize) {
+        self.requests.unhold(id);
+        let Some(request) = self.requests.remove(id) else { return };
+        let node = request.missed_at.unwrap_or(node);
+        if self.joins.get(&request.key).and_then(|j| j.leader.as_ref()) != Some(id) {
             return;
         }
-        let followers = self.joins.remove(&access.key).map_or(Vec::new(), |j| j.followers);
-        if honoured && !self.settings.aside {
-            self.joins.insert(access.key, Join { node, served_at: now, ..Join::default() });
+        let followers = self.joins.remove(&request.key).map_or(Vec::new(), |j| j.followers);
+        if served && !self.settings.aside {
+            self.joins.insert(request.key, Join { node, served_at: now, ..Join::default() });
         }
         for follower in followers {
-            self.accesses.unhold(&follower);
-            let place = self.accesses.get(&follower).map_or(0, |a| self.places.of(a.use_case));
-            match honoured && self.is_cache(node) && self.nodes[node].open_to(place) {
-                true => self.hand_off(now, &follower, node),
+            self.requests.unhold(&follower);
+            let place = self.requests.get(&follower).map_or(0, |a| self.places.of(a.class));
+            match served && self.is_cache(node) && self.nodes[node].open_to(place) {
+                true => self.attempt(now, &follower, node),
                 false => self.alone(now, &follower),
             }
         }
     }
 
-    fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
-        self.accesses.hold(id, role, until);
+    fn hold(&mut self, id: &RequestId, role: Role, until: Micros) {
+        self.requests.hold(id, role, until);
         self.arm();
     }
 
@@ -735,7 +736,7 @@
         let idle = |o: usize| self.nodes[o].in_flight == 0 && !self.origin.queue.is_empty();
         let due = self.origin.after.max(self.origin.turn - GRANT_AHEAD);
         let fetch = if self.origin.node.is_some_and(idle) { due } else { Micros::MAX };
-        let at = self.accesses.first_due().min(self.list_due).min(fetch);
+        let at = self.requests.first_due().min(self.list_due).min(fetch);
         if at < self.next_wake {
             self.next_wake = at;
             self.host.wake_at(WAKE, at);
@@ -743,8 +744,8 @@
     }
 
     fn upkeep(&mut self, now: Micros) {
-        while let Some(id) = self.accesses.due(now) {
-            match self.accesses.unhold(&id) {
+        while let Some(id) = self.requests.due(now) {
+            match self.requests.unhold(&id) {
                 Role::Following | Role::Pausing => self.alone(now, &id),
                 _ => self.give_up(now, &id),
             }
@@ -758,7 +759,7 @@
         self.arm();
     }
 
-    fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome, goal: Option<f64>) {
+    fn observe(&mut self, now: Micros, n: usize, outcome: &Outcome, target: Option<f64>) {
         let at_origin = self.of_origin(n);
         let (wait, sent_at) = (outcome.wait, now - outcome.wait);
         let (mean, thin) = (self.caches.times.mean, self.thin(now));
@@ -767,10 +768,10 @@
         let silent = matches!(outcome.ending, Ending::TimedOut | Ending::Reset | Ending::ConnectFailed);
         let fault =
             silent || matches!((outcome.ending, at_origin), (Ending::Error, _) | (Ending::Spoilt, false));
-        if fault || matches!(outcome.ending, Ending::Honoured | Ending::Miss) {
+        if fault || matches!(outcome.ending, Ending::Served | Ending::Miss) {
             node.faults.learn(now, f64::from(u8::from(fault)), SMOOTHING, ESTIMATE_AGE);
         }
-        // Danger: a node that takes accesses and answers none, or most at once with an error, and looks idle.
+        // Danger: a node that takes requests and answers none, or most at once with an error, and looks idle.
         // But any connection may fall silent, and any answer be spoilt, at a node that is well.
         let struck = silent && node.heard_at <= sent_at || fault && node.faults.mean > FAULTY;
         // Danger: a zone that is lost was found out node by node, and again at the end of each one's spell.
@@ -778,16 +779,16 @@
         if silent && !at_origin && zone.heard_at <= sent_at {
             zone.silent += u32::from(node.strikes == 0);
             (zone.silent >= ZONE_SILENT).then(|| zone.strike(now, SKIP_FIRST, SKIP_DOUBLINGS));
-        } else if !silent && !matches!(outcome.ending, Ending::CalledOff | Ending::NotSent) {
+        } else if !silent && !matches!(outcome.ending, Ending::Cancelled | Ending::NotSent) {
             *zone = Zone { heard_at: now, ..Zone::default() };
         }
         match outcome.ending {
             _ if struck => node.strike(now, SKIP_FIRST, SKIP_DOUBLINGS),
-            Ending::Honoured | Ending::Miss | Ending::Full | Ending::Error | Ending::Spoilt => {
+            Ending::Served | Ending::Miss | Ending::Full | Ending::Error | Ending::Spoilt => {
                 (node.heard_at, node.strikes, node.skip_until) = (now, 0, 0);
                 match outcome.ending {
                     Ending::Full => node.full_until = now + (mean * FULL_SHARE) as Micros,
-                    Ending::Honoured if !at_origin => self.caches.taken.add(now, self.settings.fall),
+                    Ending::Served if !at_origin => self.caches.taken.add(now, self.settings.fall),
                     Ending::Miss if thin => self.caches.taken.add(now, self.settings.fall),
                     _ => {}
                 }
@@ -799,17 +800,17 @@
         }
         self.caches.in_flight = self.caches.in_flight.saturating_sub(1);
         let used = match outcome.ending {
-            Ending::CalledOff | Ending::NotSent => return,
+            Ending::Cancelled | Ending::NotSent => return,
             Ending::Full | Ending::ConnectFailed => FULL_USED,
-            _ => goal.map_or(self.caches.goal_used.mean, |goal| wait as f64 / goal.max(1.0)),
+            _ => target.map_or(self.caches.target_used.mean, |target| wait as f64 / target.max(1.0)),
         };
         // Danger: a proxy that hears of a node twice a minute would judge it by what it was minutes ago; but
         // a refusal tells of a moment only.
         let full = matches!(outcome.ending, Ending::Full | Ending::ConnectFailed);
         let age = if full { f64::INFINITY } else { ESTIMATE_AGE };
-        node.goal_used.learn(now, used, NODE_SMOOTHING, age);
+        node.target_used.learn(now, used, NODE_SMOOTHING, age);
         // Danger: time-outs at nodes that are gone drew out the patience with all, and so the time-outs.
-        if matches!(outcome.ending, Ending::Honoured | Ending::Miss | Ending::TimedOut) && !struck {
+        if matches!(outcome.ending, Ending::Served | Ending::Miss | Ending::TimedOut) && !struck {
             node.time.learn(now, wait as f64, NODE_SMOOTHING, age);
             node.learn_least(wait as f64, BEST_DRIFT);
             self.caches.times.learn(wait, SMOOTHING);
@@ -819,20 +820,21 @@
         }
     }
 
-    /// What an access made of its goal time at the caches: one refused is well if another cache answers it.
+    /// What a request made of its target at the caches: one refused is well if another cache answers it.
     fn feel(&mut self, now: Micros, used: f64) {
         // Danger: one that admits little hears little; by old answers alone it would stay shut for long.
-        self.caches.goal_used.learn(now, used, SMOOTHING, ESTIMATE_AGE);
+        self.caches.target_used.learn(now, used, SMOOTHING, ESTIMATE_AGE);
         let all = &mut self.caches;
         for (share, most) in [(&mut all.admit, CROWDED), (&mut all.surplus, CROWDED_SURPLUS)] {
             let steps = ((now - share.at) / CONTROL).min(STEPS_MOST) as f64;
-            let (fall, rise) = if all.goal_used.mean > most { (ADMIT_FALL, 0.0) } else { (1.0, ADMIT_RISE) };
+            let (fall, rise) =
+                if all.target_used.mean > most { (ADMIT_FALL, 0.0) } else { (1.0, ADMIT_RISE) };
             share.step(now, steps, fall, rise, ADMIT_LEAST);
         }
     }
 
     fn learn_origin(&mut self, now: Micros, outcome: &Outcome, struck: bool) {
-        if outcome.ending == Ending::Honoured {
+        if outcome.ending == Ending::Served {
             // Danger: one that fetches every few seconds would find it slow long after it has recovered.
             self.origin.answers(now, outcome.wait, SMOOTHING, ORIGIN_AGE);
             self.origin.best = (self.origin.best * ORIGIN_DRIFT).min(self.origin.times.mean);
@@ -840,7 +842,7 @@
         // Danger: a refusal takes no time, so a limit on what is out at once holds back none that is refused:
         // twelve with room for six asked thirteen times for each that was taken, and more of them ask more.
         match outcome.ending {
-            Ending::Honoured => self.origin.pays(EARNS, EARNED_MOST),
+            Ending::Served => self.origin.pays(EARNS, EARNED_MOST),
             Ending::Full => {
                 self.origin.refuses(now, -EARNS, PROBE_DOUBLINGS, || self.rng.random_range(0.5..1.5))
             }
@@ -848,12 +850,12 @@
         }
         // Danger: one with no connection there that finds the table full would take it for a full origin.
         let refused = outcome.ending == Ending::Full && !outcome.first;
-        if refused || outcome.ending == Ending::Honoured {
+        if refused || outcome.ending == Ending::Served {
             self.origin.refused.learn(now, f64::from(u8::from(refused)), NODE_SMOOTHING, f64::INFINITY);
         }
         let strained = match outcome.ending {
-            Ending::Honoured => self.origin.slow(FETCH_SLOW),
-            Ending::Miss | Ending::CalledOff | Ending::NotSent | Ending::Spoilt | Ending::Unknown => return,
+            Ending::Served => self.origin.slow(FETCH_SLOW),
+            Ending::Miss | Ending::Cancelled | Ending::NotSent | Ending::Spoilt | Ending::Unknown => return,
             // Danger: single refusals come by chance, and each cut one of a hundred down to a fetch a second.
             // Refusals are paid for; who also cut by them would take long to come back.
             _ => struck,
@@ -861,7 +863,7 @@
         // Danger: one of hundreds, with a fetch a second, would take half a minute to cut its limit.
         let cuts = self.origin.silence(now).clamp(1, STEPS_MOST) as i32;
         let used = self.origin.node.map_or(0, |o| self.nodes[o].in_flight + 1);
-        if outcome.ending == Ending::Honoured && !strained && f64::from(used) >= self.origin.most / 2.0 {
+        if outcome.ending == Ending::Served && !strained && f64::from(used) >= self.origin.most / 2.0 {
             self.origin.most += 1.0 / self.origin.most.max(1.0);
         } else if strained && now - self.origin.cut_at >= self.origin.times.expected() {
             self.origin.most = (self.origin.most * FETCHES_CUT.powi(cuts)).max(FETCHES_LEAST);
@@ -871,7 +873,7 @@
 
     /// Whether this arrival lies beyond our part of its tenant's share and has to make way. Danger: each of
     /// hundreds finds its nodes idle of its own while all together crowd them with surplus.
-    fn surplus(&mut self, now: Micros, tenant: usize, id: &AccessId) -> bool {
+    fn surplus(&mut self, now: Micros, tenant: usize, id: &RequestId) -> bool {
         let Some(quota) = self.settings.quotas.get(tenant) else { return false };
         let part = quota / f64::from(self.settings.fleet_size.max(1));
         let within = self.tenants[tenant].take(now, part * SHARE_ROOM, ALLOWANCE_LEAST);
--- a/crates/flintwell-core/src/state.rs
+++ b/crates/flintwell-core/src/state.rs
@@ -1,7 +1,7 @@
 //! The module's records, grouped by how long they live, and the plain arithmetic on them. No decisions.
 
 use crate::interface::{
-    AccessId, Arrival, Ending, Entry, Group, Key, Micros, NodeId, Settings, Standing, UseCase,
+    Arrival, Class, Ending, Entry, Group, Key, Micros, NodeId, RequestId, Settings, Standing,
 };
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -9,17 +9,17 @@
 
 const PLACES_MOST: usize = 63; // places; the last bit, which no node has, stands for any beyond
 
-/// One hand-off.
-pub(crate) struct HandOff {
+/// One attempt.
+pub(crate) struct Attempt {
     pub node: usize,
     pub sent_at: Micros,
     pub ending: Option<Ending>,
 }
 
-/// Why an access is with us with nothing sent.
+/// Why a request is with us with nothing sent.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Role {
-    /// It is not: a hand-off is out.
+    /// It is not: an attempt is out.
     Plain,
     Following,
     /// In the queue before the origin.
@@ -28,19 +28,19 @@
     Pausing,
 }
 
-/// One access, until its final answer.
-pub(crate) struct Access {
-    pub use_case: usize,
+/// One request, until its final answer.
+pub(crate) struct Request {
+    pub class: usize,
     pub key: Key,
     /// The key's hash, by which it finds its slots and its heat.
     pub slot: u64,
     pub write: bool,
     pub arrived: Micros,
-    pub outer_limit: Micros,
+    pub deadline: Micros,
     /// Past this an answer earns nothing.
     pub useful_until: Micros,
-    pub hand_offs: Vec<HandOff>,
-    pub hand_offs_most: usize,
+    pub attempts: Vec<Attempt>,
+    pub attempts_most: usize,
     /// The cache node that missed last.
     pub missed_at: Option<usize>,
     /// Chance of its own: which of a hot key's caches is its first.
@@ -50,25 +50,25 @@
     pub due: Micros,
 }
 
-impl Access {
+impl Request {
     pub fn new(
         arrival: Arrival,
         arrived: Micros,
         useful_until: Micros,
-        hand_offs_most: usize,
+        attempts_most: usize,
         turn: u64,
     ) -> Self {
         let key = arrival.key.unwrap_or(arrival.id);
-        Access {
-            use_case: arrival.use_case,
+        Request {
+            class: arrival.class,
             slot: hash(&key),
             key,
             write: arrival.write,
             arrived,
-            outer_limit: arrival.outer_limit,
+            deadline: arrival.deadline,
             useful_until,
-            hand_offs: Vec::new(),
-            hand_offs_most,
+            attempts: Vec::new(),
+            attempts_most,
             missed_at: None,
             turn,
             role: Role::Plain,
@@ -76,58 +76,58 @@
         }
     }
     pub fn tried(&self, node: usize) -> bool {
-        self.hand_offs.iter().any(|h| h.node == node)
+        self.attempts.iter().any(|h| h.node == node)
     }
-    /// The first hand-off that may have run, or still may.
-    pub fn may_have_run(&self) -> Option<&HandOff> {
-        self.hand_offs.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()))
+    /// The first attempt that may have run, or still may.
+    pub fn may_have_run(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|h| h.ending.is_none_or(|e| !e.never_ran()))
     }
 }
 
-/// The shortest goal time of all use cases.
-pub(crate) fn shortest_goal(settings: &Settings) -> f64 {
-    settings.use_cases.iter().map(|u| u.goal_time).min().unwrap_or(1_000_000) as f64
+/// The shortest latency target of all classes.
+pub(crate) fn shortest_target(settings: &Settings) -> f64 {
+    settings.classes.iter().map(|u| u.latency_target).min().unwrap_or(1_000_000) as f64
 }
 
-/// The accesses not answered yet, and when those held are due.
+/// The requests not answered yet, and when those held are due.
 #[derive(Default)]
-pub(crate) struct Accesses {
-    by_id: FxHashMap<AccessId, Access>,
-    held: BTreeSet<(Micros, AccessId)>,
+pub(crate) struct Requests {
+    by_id: FxHashMap<RequestId, Request>,
+    held: BTreeSet<(Micros, RequestId)>,
 }
 
-impl Accesses {
-    pub fn hold(&mut self, id: &AccessId, role: Role, until: Micros) {
-        if let Some(access) = self.by_id.get_mut(id) {
-            (access.role, access.due) = (role, until);
+impl Requests {
+    pub fn hold(&mut self, id: &RequestId, role: Role, until: Micros) {
+        if let Some(request) = self.by_id.get_mut(id) {
+            (request.role, request.due) = (role, until);
             self.held.insert((until, id.clone()));
         }
     }
     /// Lets it go, if held, and tells as what it was.
-    pub fn unhold(&mut self, id: &AccessId) -> Role {
-        let Some(access) = self.by_id.get_mut(id) else { return Role::Plain };
-        if access.role != Role::Plain {
-            self.held.remove(&(access.due, id.clone()));
+    pub fn unhold(&mut self, id: &RequestId) -> Role {
+        let Some(request) = self.by_id.get_mut(id) else { return Role::Plain };
+        if request.role != Role::Plain {
+            self.held.remove(&(request.due, id.clone()));
         }
-        std::mem::replace(&mut access.role, Role::Plain)
+        std::mem::replace(&mut request.role, Role::Plain)
     }
     pub fn first_due(&self) -> Micros {
         self.held.first().map_or(Micros::MAX, |held| held.0)
     }
     /// One that is due.
-    pub fn due(&self, now: Micros) -> Option<AccessId> {
+    pub fn due(&self, now: Micros) -> Option<RequestId> {
         self.held.first().filter(|held| held.0 <= now).map(|held| held.1.clone())
     }
 }
 
-impl Deref for Accesses {
-    type Target = FxHashMap<AccessId, Access>;
+impl Deref for Requests {
+    type Target = FxHashMap<RequestId, Request>;
     fn deref(&self) -> &Self::Target {
         &self.by_id
     }
 }
 
-impl DerefMut for Accesses {
+impl DerefMut for Requests {
     fn deref_mut(&mut self) -> &mut Self::Target {
         &mut self.by_id
     }
@@ -136,9 +136,9 @@
 /// A key with a fetch out, or (through mode) served lately.
 #[derive(Default)]
 pub(crate) struct Join {
-    pub leader: Option<AccessId>,
+    pub leader: Option<RequestId>,
     pub node: usize,
-    pub followers: Vec<AccessId>,
+    pub followers: Vec<RequestId>,
     pub served_at: Micros,
 }
 
@@ -156,9 +156,9 @@
     pub leave: f64,
     /// Share of its answers that were errors or made no sense.
     pub faults: Mean,
-    /// Its answer time, and the share of their goal time that its answers use up.
+    /// Its answer time, and the share of their latency target that its answers use up.
     pub time: Mean,
-    pub goal_used: Mean,
+    pub target_used: Mean,
     /// The least answer time lately: the way there, and little else.
     pub least: f64,
     /// Sent to it lately, and over a longer time.
@@ -218,23 +218,23 @@
     }
 }
 
-/// The cache nodes that some use cases may be sent to.
+/// The cache nodes that some classes may be sent to.
 #[derive(PartialEq)]
 struct Place {
     kinds: Option<Vec<u32>>,
     zones: Option<Vec<u32>>,
 }
 
-/// The places of all use cases; those bound alike share one.
+/// The places of all classes; those bound alike share one.
 #[derive(Default)]
 pub(crate) struct Places {
     all: Vec<Place>,
-    /// The place of each use case.
+    /// The place of each class.
     of_case: Vec<usize>,
 }
 
 impl Places {
-    pub fn new(cases: &[UseCase]) -> Self {
+    pub fn new(cases: &[Class]) -> Self {
         let mut places = Places::default();
         for case in cases {
             let bound = Place { kinds: case.kinds.clone(), zones: case.zones.clone() };
@@ -251,8 +251,8 @@
     pub fn count(&self) -> usize {
         self.all.len()
     }
-    pub fn of(&self, use_case: usize) -> usize {
-        self.of_case[use_case]
+    pub fn of(&self, class: usize) -> usize {
+        self.of_case[class]
     }
     /// The bits of those that a node of this entry belongs to.
     pub fn holding(&self, entry: &Entry) -> u64 {
@@ -382,8 +382,8 @@
     pub taken: Pace,
     pub in_flight: u32,
     pub times: Times,
-    /// Share of its own goal time that an answer takes, on the mean.
-    pub goal_used: Mean,
+    /// Share of its own latency target that an answer takes, on the mean.
+    pub target_used: Mean,
     /// Shares of reads and of surplus admitted.
     pub admit: Share,
     pub surplus: Share,
@@ -421,7 +421,7 @@
     /// What its answers may take on the mean, however quick it was.
     pub bearable: f64,
     pub heard_at: Micros,
-    /// Its last honoured answer.
+    /// Its last served answer.
     pub answered_at: Micros,
     /// Fetches that may be out at once; under one they are spaced out.
     pub most: f64,
@@ -433,7 +433,7 @@
     /// Share of the fetches and writes that it refused.
     pub refused: Mean,
     pub after: Micros,
-    /// Accesses that were to be fetched there, sent or not.
+    /// Requests that were to be fetched there, sent or not.
     pub wanted: u64,
     /// Between two fetches, where the fleet has agreed on a rate; 0 where it has not.
     pub apart: Micros,
@@ -441,7 +441,7 @@
     pub turn: Micros,
     /// Its table of connections was found full; until then what is idle there is closed.
     pub full_until: Micros,
-    pub queue: VecDeque<AccessId>,
+    pub queue: VecDeque<RequestId>,
 }
 
 impl Origin {
@@ -457,7 +457,7 @@
             ..Self::default()
         }
     }
-    /// An honoured answer; the mean gives way to it the more the older the last is.
+    /// An served answer; the mean gives way to it the more the older the last is.
     pub fn answers(&mut self, now: Micros, wait: Micros, weight: f64, age: f64) {
         let gap = (now - std::mem::replace(&mut self.answered_at, now)) as f64;
         self.times.learn(wait, weight.max(1.0 - (-gap / age).exp()));
@@ -594,7 +594,7 @@
     }
 }
 
-/// Our own accesses lately, by key (keys may share a count) and in all.
+/// Our own requests lately, by key (keys may share a count) and in all.
 pub(crate) struct Heat {
     counts: Vec<Pace>,
     pub all: Pace,
--- a/crates/flintwell-core/tests/module/cases.rs
+++ b/crates/flintwell-core/tests/module/cases.rs
@@ -14,7 +14,7 @@
 }
 
 /// A read of a key of this number, missed at its cache.
-fn missed(play: &mut Play, n: usize) -> AccessId {
+fn missed(play: &mut Play, n: usize) -> RequestId {
     let id = play.arrive(0, &format!("k{n}"), false);
     play.end(&id, Ending::Miss);
     id
@@ -29,7 +29,7 @@
     play.end(&a, Ending::Miss);
     play.end(&b, Ending::Miss);
     assert_eq!((play.node_of(&a), play.node_of(&b)), (Some(origin()), None));
-    play.end(&a, Ending::Honoured);
+    play.end(&a, Ending::Served);
     assert_eq!(play.node_of(&b), home);
 }
 
@@ -64,7 +64,7 @@
     let (a, b) = (play.arrive(0, "k", false), play.arrive(0, "k", false));
     let home = play.node_of(&a);
     assert_eq!(play.node_of(&b), None);
-    play.end(&a, Ending::Honoured);
+    play.end(&a, Ending::Served);
     assert_eq!(play.node_of(&b), home);
     let c = play.arrive(0, "k", false);
     assert_eq!(play.node_of(&c), home);
@@ -84,7 +84,7 @@
         let mut home = |n| {
             let id = play.arrive(0, &format!("k{n}"), false);
             let home = play.node_of(&id);
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             home
         };
         (0..200).map(&mut home).collect()
@@ -104,21 +104,21 @@
     let mut play = Play::new(settings(), 4);
     restarted(&mut play, 2);
     let cold = entry(2, Standing::Ready, 0).node;
-    let (mut to_cold, mut honoured) = (0, 0);
+    let (mut to_cold, mut served) = (0, 0);
     for n in 0..400 {
         let id = play.arrive(0, &format!("k{n}"), false);
         to_cold += usize::from(play.node_of(&id) == Some(cold.clone()));
-        honoured += usize::from(n % 8 == 0);
-        play.end(&id, if n % 8 == 0 { Ending::Honoured } else { Ending::Miss });
+        served += usize::from(n % 8 == 0);
+        play.end(&id, if n % 8 == 0 { Ending::Served } else { Ending::Miss });
         play.pass(5 * MS);
     }
-    assert!(to_cold > 0 && to_cold <= honoured / 3, "{to_cold} to the cold node, {honoured} honoured");
+    assert!(to_cold > 0 && to_cold <= served / 3, "{to_cold} to the cold node, {served} served");
 }
 
 /// Two busy nodes turned reads back for want of a moment while the origin was idle; yet in a burst each
 /// refusal must not become a fetch.
 #[test]
-fn refused_at_home_and_spare_it_goes_to_an_origin_with_room_else_is_turned_back() {
+fn refused_at_home_and_spare_it_goes_to_an_origin_with_room_else_is_refused() {
     let mut play = Play::new(settings(), 6);
     for _ in 0..4 {
         let id = play.arrive(0, "k", false);
@@ -128,20 +128,20 @@
         assert_eq!(play.node_of(&id), Some(origin()));
     }
     let next = play.arrive(0, "k", false);
-    assert_eq!(play.answer(&next), Some("turned back"));
+    assert_eq!(play.answer(&next), Some("refused"));
     play.pass(200 * MS);
     let later = play.arrive(0, "k", false);
     assert!(play.node_of(&later).is_some());
 }
 
-/// Single refusals of an origin that was full for a moment cost an access each and cut the limit to nothing.
+/// Single refusals of an origin that was full for a moment cost a request each and cut the limit to nothing.
 #[test]
 fn what_the_origin_refuses_in_a_moment_is_asked_again_unless_it_refuses_many() {
     let mut play = Play::new(settings(), 6);
     for n in 0..8 {
         let id = missed(&mut play, n);
         play.pass(60 * MS);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
     }
     let id = missed(&mut play, 100);
     play.end(&id, Ending::Full);
@@ -149,11 +149,11 @@
     assert_eq!((play.node_of(&id), play.node_of(&other)), (None, Some(origin())));
     play.pass(200 * MS);
     assert_eq!(play.node_of(&id), Some(origin()));
-    play.end(&id, Ending::Honoured);
+    play.end(&id, Ending::Served);
     let back = (200..220).filter(|&n| {
         let id = missed(&mut play, n);
         play.end(&id, Ending::Full);
-        play.answer(&id) == Some("turned back")
+        play.answer(&id) == Some("refused")
     });
     assert!(back.count() >= 16, "an origin that refuses all is asked again");
 }
@@ -168,16 +168,16 @@
     let three = missed(&mut play, 2);
     assert_eq!([&one, &two, &three].map(|id| play.node_of(id)), [Some(origin()), None, None]);
     play.pass(30 * MS);
-    play.end(&one, Ending::Honoured);
+    play.end(&one, Ending::Served);
     assert_eq!(play.node_of(&two), Some(origin()), "on the connection that is free now");
-    play.end(&two, Ending::Honoured);
-    play.end(&three, Ending::Honoured);
+    play.end(&two, Ending::Served);
+    play.end(&three, Ending::Served);
     for n in 10..30 {
         let id = missed(&mut play, n);
         assert_eq!(play.node_of(&id), Some(origin()), "alone there, it is tried at once");
         play.end_on(&id, Ending::Full, true);
         play.pass(200 * MS);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
     }
 }
 
@@ -197,10 +197,10 @@
         }
         back
     };
-    assert_eq!(wave(Ending::Honoured), 0);
+    assert_eq!(wave(Ending::Served), 0);
     assert!(wave(Ending::Full) > 200);
-    wave(Ending::Honoured);
-    assert_eq!(wave(Ending::Honoured), 0);
+    wave(Ending::Served);
+    assert_eq!(wave(Ending::Served), 0);
 }
 
 /// An origin that went on with abandoned work was kept full of it by writes and their repeats.
@@ -213,13 +213,13 @@
                 let id = play.arrive(1, &format!("w{n}"), true);
                 play.pass(30 * MS);
                 if answers {
-                    play.out().iter().for_each(|id| play.end(id, Ending::Honoured));
+                    play.out().iter().for_each(|id| play.end(id, Ending::Served));
                 }
                 id
             })
             .collect();
         play.pass(2 * SECOND);
-        ids.iter().filter(|id| !play.world.0.borrow().accesses[*id].sent.is_empty()).count()
+        ids.iter().filter(|id| !play.world.0.borrow().requests[*id].sent.is_empty()).count()
     };
     assert_eq!(served(true), 200);
     assert!(served(false) < 120);
@@ -228,15 +228,15 @@
 }
 
 #[test]
-fn a_silent_node_is_skipped_and_then_risked_with_one_access() {
+fn a_silent_node_is_skipped_and_then_risked_with_one_request() {
     let mut play = Play::busy(settings(), 6);
     let id = play.arrive(0, "k", false);
     let silent = play.node_of(&id);
     play.pass(400 * MS);
-    play.end(&id, Ending::Honoured);
+    play.end(&id, Ending::Served);
     let other = play.arrive(0, "k", false);
     assert!(play.node_of(&other).is_some() && play.node_of(&other) != silent);
-    play.end(&other, Ending::Honoured);
+    play.end(&other, Ending::Served);
     play.pass(300 * MS);
     let (one, two) = (play.arrive(0, "k", false), play.arrive(0, "k", false));
     assert_eq!(play.node_of(&one), silent);
@@ -251,9 +251,9 @@
         .filter_map(|n| {
             let id = play.arrive(0, &format!("k{n}"), false);
             let sent =
-                play.world.0.borrow().accesses[&id].sent.last().map(|sent| sent.times_out - sent.at)?;
+                play.world.0.borrow().requests[&id].sent.last().map(|sent| sent.times_out - sent.at)?;
             play.pass(sent + 60 * MS);
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             Some(sent)
         })
         .collect();
@@ -263,7 +263,7 @@
 
 /// A lost zone was found out node by node, and again at the end of each one's spell.
 #[test]
-fn a_zone_that_falls_silent_is_tried_by_one_access_at_a_time_and_trusted_again_at_its_first_answer() {
+fn a_zone_that_falls_silent_is_tried_by_one_request_at_a_time_and_trusted_again_at_its_first_answer() {
     let mut play = Play::new(settings(), 40);
     let to_zone = |play: &mut Play, keys: std::ops::Range<usize>, ending: Ending| -> usize {
         let mut to_zone = 0;
@@ -272,9 +272,9 @@
             while let Some(node) = play.node_of(&id).filter(|node| *node != origin()) {
                 let there = play.world.0.borrow().listed[&node].zone == 1;
                 to_zone += usize::from(there);
-                play.end(&id, if there { ending } else { Ending::Honoured });
+                play.end(&id, if there { ending } else { Ending::Served });
             }
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             play.pass(10 * MS);
         }
         to_zone
@@ -282,11 +282,11 @@
     let lost = to_zone(&mut play, 0..200, Ending::TimedOut);
     assert!((3..12).contains(&lost), "{lost} to a zone that is lost");
     play.pass(5 * SECOND);
-    assert!(to_zone(&mut play, 200..400, Ending::Honoured) > 50);
+    assert!(to_zone(&mut play, 200..400, Ending::Served) > 50);
 }
 
 #[test]
-fn surplus_of_a_tenant_is_turned_back_and_its_share_is_not() {
+fn surplus_of_a_tenant_is_refused_and_its_share_is_not() {
     let mut play = Play::new(Settings { quotas: vec![10.0], fleet_size: 2, ..settings() }, 2);
     let ids: Vec<_> = (0..40).map(|n| play.arrive(0, &format!("k{n}"), false)).collect();
     assert!(play.answer(&ids[0]).is_none());
@@ -328,26 +328,26 @@
     assert!(busiest(300) <= 60 && busiest(1_000) <= 60, "of 300: {} and {}", busiest(300), busiest(1_000));
 }
 
-/// A few slow nodes raised the mean and idle nodes' reads were turned back; and a slow home kept its reads.
+/// A few slow nodes raised the mean and idle nodes' reads were refused; and a slow home kept its reads.
 #[test]
 fn a_slow_node_is_passed_over_and_idle_ones_still_get_theirs() {
     let mut play = Play::new(settings(), 6);
     let first = play.arrive(0, "k", false);
     let slow = play.node_of(&first);
-    play.end(&first, Ending::Honoured);
+    play.end(&first, Ending::Served);
     for n in 0..120 {
         let id = play.arrive(0, &format!("k{n}"), false);
-        assert_ne!(play.answer(&id), Some("turned back"), "only the slow node is crowded");
+        assert_ne!(play.answer(&id), Some("refused"), "only the slow node is crowded");
         let wait = if play.node_of(&id) == slow { 170 } else { 5 };
         play.pass(wait * MS);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
     }
     let (one, two) = (play.arrive(0, "k", false), play.arrive(0, "k", false));
     assert_eq!(play.node_of(&one), slow, "with none of ours out, one tries");
     assert_ne!(play.node_of(&two), slow);
 }
 
-/// The way to another zone alone, most of a short goal time, made idle nodes pass for crowded.
+/// The way to another zone alone, most of a short latency target, made idle nodes pass for crowded.
 #[test]
 fn a_node_far_away_is_not_taken_for_a_crowded_one() {
     let mut play = Play::busy(settings(), 2);
@@ -355,7 +355,7 @@
         let pair = [(); 2].map(|()| play.arrive(0, "k", false));
         assert!(pair.iter().all(|id| play.node_of(id).is_some_and(|node| node != origin())), "at {n}");
         play.pass(150 * MS);
-        pair.iter().for_each(|id| play.end(id, Ending::Honoured));
+        pair.iter().for_each(|id| play.end(id, Ending::Served));
     }
 }
 
@@ -366,21 +366,21 @@
         let (mut play, mut asked) = (Play::new(settings(), 6), 0);
         let first = play.arrive(0, "k", false);
         let faulty = play.node_of(&first);
-        play.end(&first, Ending::Honoured);
+        play.end(&first, Ending::Served);
         for n in 0..100 {
             let id = play.arrive(0, "k", false);
             if play.node_of(&id) == faulty {
                 asked += 1;
-                play.end(&id, if errors || n == 10 { Ending::Error } else { Ending::Honoured });
+                play.end(&id, if errors || n == 10 { Ending::Error } else { Ending::Served });
             }
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             play.pass(10 * MS);
         }
         assert!(if errors { asked < 15 } else { asked > 60 }, "asked {asked} times");
     }
 }
 
-/// Spoilt answers of the origin were broken off with time for another, and cut its limit.
+/// Spoilt answers of the origin were failed with time for another, and cut its limit.
 #[test]
 fn a_spoilt_answer_of_the_origin_is_fetched_again_where_that_is_allowed() {
     let mut play = Play::new(settings(), 3);
@@ -391,14 +391,14 @@
     let writes: Vec<_> = (0..3).map(|n| play.arrive(1, &format!("w{n}"), true)).collect();
     writes.iter().for_each(|write| play.end(write, Ending::Full));
     play.end(&read, Ending::Full);
-    assert_eq!(play.answer(&read), Some("turned back"), "one at its limit is not asked again");
+    assert_eq!(play.answer(&read), Some("refused"), "one at its limit is not asked again");
     play.end(&once, Ending::Spoilt);
-    assert_eq!(play.answer(&once), Some("broken off"));
+    assert_eq!(play.answer(&once), Some("failed"));
 }
 
 /// Connections that fell silent, one in ten, cut the limit on fetches though the origin was idle.
 #[test]
-fn hand_offs_lost_one_by_one_are_no_strain_and_an_origin_that_stops_is() {
+fn attempts_lost_one_by_one_are_no_strain_and_an_origin_that_stops_is() {
     let mut play = Play::new(settings(), 3);
     let mut burst = |answers: usize| {
         let ids: Vec<_> = (0..40).map(|n| play.arrive(1, &format!("w{n}"), true)).collect();
@@ -406,7 +406,7 @@
         for _ in 0..40 {
             play.pass(31 * MS);
             for (n, id) in play.out().iter().enumerate() {
-                play.end(id, if n % 10 < answers { Ending::Honoured } else { Ending::TimedOut });
+                play.end(id, if n % 10 < answers { Ending::Served } else { Ending::TimedOut });
             }
         }
         at_once
@@ -429,7 +429,7 @@
         .map(|n| {
             let id = play.arrive(0, &if n % 2 == 0 { "hot".into() } else { format!("k{n}") }, false);
             let cache = play.node_of(&id).filter(|_| n % 2 == 0);
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             play.pass(100 * MS);
             cache
         })
@@ -455,8 +455,8 @@
                 play.end(&id, Ending::Full);
                 assert!(play.node_of(&id) != cold, "what others refused");
             }
-            play.end(&id, if n % 3 == 0 { Ending::Honoured } else { Ending::Miss });
-            play.end(&id, Ending::Honoured);
+            play.end(&id, if n % 3 == 0 { Ending::Served } else { Ending::Miss });
+            play.end(&id, Ending::Served);
             play.pass(20 * MS);
         }
         to_cold
@@ -478,7 +478,7 @@
     assert!(to_cold(&mut play, 0..200, true) <= warm / 5);
 }
 
-/// A box 4.5 s after its start was sent 47 accesses in 1.5 s, five times what it could do, all of one locked key.
+/// A box 4.5 s after its start was sent 47 requests in 1.5 s, five times what it could do, all of one locked key.
 #[test]
 fn a_hot_key_of_a_large_fleet_is_left_to_warm_nodes() {
     let mut play = Play::new(hundreds(), 30);
@@ -486,7 +486,7 @@
         let one = |_| {
             let id = play.arrive(0, "hot", false);
             let node = play.node_of(&id);
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             play.pass(20 * MS);
             node
         };
@@ -515,7 +515,7 @@
             while overload && n % 5 > 0 && play.node_of(&id).is_some_and(|node| node != origin()) {
                 play.end(&id, Ending::Full);
             }
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             play.pass(20 * MS);
         }
         to_cold
@@ -524,9 +524,9 @@
     assert!(calm > 10 && overload < calm / 4, "{overload} in an overload, {calm} in calm");
 }
 
-/// Refused by three caches and missed at a fourth, a read had no hand-off left for its fetch.
+/// Refused by three caches and missed at a fourth, a read had no attempt left for its fetch.
 #[test]
-fn the_last_hand_off_of_a_read_goes_to_the_origin_while_it_has_room() {
+fn the_last_attempt_of_a_read_goes_to_the_origin_while_it_has_room() {
     let mut play = Play::new(hundreds(), 30);
     let id = play.arrive(0, "k", false);
     for _ in 0..3 {
@@ -544,7 +544,7 @@
     for n in 0..11_900 {
         let id = play.arrive(0, &format!("k{n}"), false);
         *counts.entry(play.node_of(&id)).or_insert(0) += 1;
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
     }
     assert!(counts.len() == 119 && counts.values().all(|n| (55..150).contains(n)), "{counts:?}");
 }
@@ -555,7 +555,7 @@
     for (fleet_size, closes) in [(4, 0), (400, 1)] {
         let mut play = Play::new(Settings { fleet_size, connection_price: 0.01, ..settings() }, 5);
         let id = play.arrive(0, "k", false);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
         assert_eq!(play.world.0.borrow().closes, closes);
     }
 }
@@ -567,7 +567,7 @@
     for n in 0..3 {
         let write = play.arrive(1, &format!("k{n}"), true);
         play.pass(if n == 0 { 30 * MS } else { 3 * SECOND });
-        play.end(&write, if n == 0 { Ending::Honoured } else { Ending::TimedOut });
+        play.end(&write, if n == 0 { Ending::Served } else { Ending::TimedOut });
     }
     let ids: Vec<_> = (10..14).map(|n| play.arrive(1, &format!("k{n}"), true)).collect();
     assert_eq!(ids.iter().filter(|id| play.node_of(id).is_some()).count(), 1);
@@ -579,12 +579,12 @@
     (0..7).map(|n| Entry { kind: kind(n), size: weights(n), ..entry(n, Standing::Ready, 0) }).collect()
 }
 
-/// Where 200 keys are sent, every one honoured.
+/// Where 200 keys are sent, every one served.
 fn homes(play: &mut Play) -> Vec<Option<NodeId>> {
     let home = |n| {
         let id = play.arrive(0, &format!("h{n}"), false);
         let home = play.node_of(&id);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
         home
     };
     (0..200).map(home).collect()
@@ -639,7 +639,7 @@
     assert_eq!(at_it(&mut play, 1.0), before);
 }
 
-/// Three of five accesses crossed zones at a tenth of their earnings each.
+/// Three of five requests crossed zones at a tenth of their worth each.
 #[test]
 fn where_crossings_are_dear_a_home_is_in_our_zone_and_a_list_of_one_is_no_trouble() {
     let mut play = Play::new(Settings { cross_price: 0.1, ..settings() }, 6);
@@ -656,10 +656,10 @@
 
 /// Charts were sent to any kind of node 30 ms into each day of a deployment that serves them on one kind only.
 #[test]
-fn a_bound_use_case_is_sent_only_where_it_may_be_also_when_all_of_those_are_out() {
+fn a_bound_class_is_sent_only_where_it_may_be_also_when_all_of_those_are_out() {
     let mut play = Play::new(settings(), 6);
-    let to = |play: &mut Play, use_case: usize, key: &str| {
-        let id = play.arrive(use_case, key, false);
+    let to = |play: &mut Play, class: usize, key: &str| {
+        let id = play.arrive(class, key, false);
         (play.node_of(&id), id)
     };
     let open = [1, 3, 5].map(|n| Some(entry(n, Standing::Ready, 0).node));
@@ -667,20 +667,20 @@
         let (node, id) = to(&mut play, 5, &format!("k{n}"));
         assert!(open.contains(&node), "{node:?}");
         // The rest goes by the model.
-        [Ending::Full, Ending::Error, Ending::Honoured].iter().for_each(|&ending| play.end(&id, ending));
+        [Ending::Full, Ending::Error, Ending::Served].iter().for_each(|&ending| play.end(&id, ending));
         play.pass(SECOND);
     }
     // A leader that may go anywhere misses at a node that is closed to its follower.
     let key = (0..).map(|n| format!("j{n}")).find(|key| {
         let (node, id) = to(&mut play, 0, key);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
         node.is_some_and(|node| (2..=6).step_by(2).any(|n| entry(n, Standing::Ready, 0).node == node))
     });
     let key = key.expect("one at home in the first zone");
     let (leader, follower) = (to(&mut play, 0, &key).1, to(&mut play, 5, &key).1);
     play.end(&leader, Ending::Miss);
     play.end(&follower, Ending::Miss);
-    play.end(&leader, Ending::Honoured);
+    play.end(&leader, Ending::Served);
     assert_eq!(play.node_of(&follower), Some(origin()), "not the leader's cache");
     for n in [1, 3, 5] {
         play.list(ListKind::Changes, vec![entry(n, Standing::Draining, 0)]);
@@ -705,7 +705,7 @@
             let id = play.arrive(0, &format!("k{n}"), false);
             let node = play.node_of(&id);
             play.pass(20 * MS);
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
             node == Some(entry(3, Standing::Ready, 0).node)
         });
         let all = all.count();
@@ -725,7 +725,7 @@
             play.pass(200 * MS);
         }
         let before = play.world.0.borrow().closes;
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
         play.world.0.borrow().closes - before
     };
     assert_eq!(closes(&mut play, 0, false), 0, "it is kept while nobody is refused");
@@ -742,7 +742,7 @@
         let id = play.arrive(0, &format!("k{n}"), false);
         play.end(&id, Ending::Miss);
         let closes = play.world.0.borrow().closes;
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
         assert_eq!(play.world.0.borrow().closes, closes, "at the origin");
     }
     let sent = |n: usize| play.world.0.borrow().closes + n;
@@ -750,17 +750,17 @@
     let mut play = Play::new(Settings { connection_price: 0.01, fleet_size: 300, ..settings() }, 40);
     (0..200).for_each(|n| {
         let id = play.arrive(1, &format!("k{n}"), false);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
     });
     let before = play.world.0.borrow().closes;
     for n in 0..100 {
         let id = play.arrive(0, "hot", false);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
         assert!(n < 60 || play.world.0.borrow().closes < before + 90, "its nodes keep theirs");
     }
 }
 
-/// Small boxes got as much as full ones, and every sixth access there timed out.
+/// Small boxes got as much as full ones, and every sixth request there timed out.
 #[test]
 fn a_kind_that_answers_slowly_gets_less_where_the_list_tells_no_speeds() {
     let mut play = Play::new(settings(), 0);
@@ -772,7 +772,7 @@
         let id = play.arrive(0, &format!("k{n}"), false);
         let node = play.node_of(&id);
         play.pass(if slow(&node) { 80 } else { 40 } * MS);
-        play.end(&id, Ending::Honoured);
+        play.end(&id, Ending::Served);
     }
     let after = homes(&mut play).iter().filter(|node| slow(node)).count();
     assert!(after * 5 < before * 4, "{before} before, {after} after");
@@ -791,7 +791,7 @@
             play.pass(wait);
             for id in &ids {
                 fetched += usize::from(play.node_of(id) == Some(origin()));
-                play.end(id, Ending::Honoured);
+                play.end(id, Ending::Served);
             }
         }
         fetched
@@ -809,7 +809,7 @@
     let mut play = Play::new(settings(), 6);
     let (mut shut, mut idle) = (0, 0);
     for wave in 0..20 {
-        let mut out: Vec<AccessId> = Vec::new();
+        let mut out: Vec<RequestId> = Vec::new();
         for n in 0..40 {
             let id = play.arrive(0, &format!("k{wave} {n}"), false);
             if play.answer(&id).is_some() {
@@ -822,10 +822,10 @@
         // The origin answers soon, the caches late, as they always did.
         play.pass(20 * MS);
         for id in out.iter().filter(|id| play.node_of(id) == Some(origin())).cloned().collect::<Vec<_>>() {
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
         }
         play.pass(280 * MS);
-        out.iter().for_each(|id| play.end(id, Ending::Honoured));
+        out.iter().for_each(|id| play.end(id, Ending::Served));
     }
     assert!(shut > 10 && idle == 0, "{shut} shut out, {idle} of them with an idle origin");
 }
@@ -847,23 +847,23 @@
 }
 
 #[test]
-fn a_change_of_settings_keeps_what_was_learned_and_accesses_in_hand_end_under_what_they_began_with() {
+fn a_change_of_settings_keeps_what_was_learned_and_requests_in_hand_end_under_what_they_began_with() {
     let mut play = Play::busy(settings(), 4);
     let read = play.arrive(0, "k", false);
-    // From now on the first use case may not run twice, and one hand-off is all.
+    // From now on the first class may not run twice, and one attempt is all.
     let mut other = settings();
-    (other.use_cases[0].effect, other.max_hand_offs) = (Effect::SingleUse, 1);
+    (other.classes[0].effect, other.max_attempts) = (Effect::Unsafe, 1);
     play.change(other);
     let after = play.arrive(0, "another", true);
     play.pass(5 * MS);
     play.end(&read, Ending::Reset);
-    assert!(play.node_of(&read).is_some(), "it began as replayable, with four hand-offs");
+    assert!(play.node_of(&read).is_some(), "it began as safe, with four attempts");
     play.end(&after, Ending::Reset);
     play.change(settings());
-    play.end(&read, Ending::Honoured);
+    play.end(&read, Ending::Served);
     play.pass(2 * SECOND);
-    assert_eq!(play.answer(&after), Some("broken off"), "it began as single-use, with one hand-off");
-    assert_eq!(play.answer(&read), Some("honoured"));
+    assert_eq!(play.answer(&after), Some("failed"), "it began as unsafe, with one attempt");
+    assert_eq!(play.answer(&read), Some("served"));
 }
 
 #[test]
@@ -882,7 +882,7 @@
             play.change(settings());
         }
         // Many new keys at once: how many are fetched is what is believed of the origin.
-        let ids: Vec<AccessId> = (0..30).map(|n| play.arrive(0, &format!("new {n}"), false)).collect();
+        let ids: Vec<RequestId> = (0..30).map(|n| play.arrive(0, &format!("new {n}"), false)).collect();
         play.pass(MS);
         ids.iter().for_each(|id| play.end(id, Ending::Miss));
         let origin = entry(0, Standing::Ready, 0).node;
@@ -909,7 +909,7 @@
             }
             let takes = n % 25 == 0;
             play.pass(MS);
-            play.end(&out, if takes { Ending::Honoured } else { Ending::Full });
+            play.end(&out, if takes { Ending::Served } else { Ending::Full });
             (taken, refused) = (taken + usize::from(takes), refused + usize::from(!takes));
         }
         play.pass(8 * MS);
@@ -923,10 +923,10 @@
         play.end(&id, Ending::Miss);
         play.pass(5 * MS);
         for out in play.out() {
-            play.end(&out, Ending::Honoured);
+            play.end(&out, Ending::Served);
         }
         play.pass(4 * MS);
-        late += usize::from(n > 150 && play.answer(&id) != Some("honoured"));
+        late += usize::from(n > 150 && play.answer(&id) != Some("served"));
     }
     assert_eq!(late, 0, "not fetched, a second and a half after it has room");
 }
@@ -940,13 +940,13 @@
     ids.iter().for_each(|id| play.end(id, Ending::Miss));
     // The second's client has left as well.
     for left in [1, 0] {
-        play.world.0.borrow_mut().accesses.get_mut(&ids[left]).expect("known").answer = Some("gone");
-        play.policy.access_gone(play.now(), &ids[left]);
-        play.end(&ids[left], Ending::CalledOff);
+        play.world.0.borrow_mut().requests.get_mut(&ids[left]).expect("known").answer = Some("gone");
+        play.policy.request_gone(play.now(), &ids[left]);
+        play.end(&ids[left], Ending::Cancelled);
     }
     assert_eq!(play.node_of(&ids[2]), Some(origin()));
     assert!(ids[3..].iter().all(|id| play.node_of(id).is_none()), "held on");
-    play.end(&ids[2], Ending::Honoured);
+    play.end(&ids[2], Ending::Served);
     assert!(ids[3..].iter().all(|id| play.node_of(id) == Some(home.clone())), "where it filled");
 }
 
@@ -958,7 +958,7 @@
         let id = play.arrive(1, "k", false);
         play.pass(100 * MS);
         play.end(&id, Ending::Error);
-        // The window is 300 ms from the first hand-off.
+        // The window is 300 ms from the first attempt.
         assert_eq!(play.node_of(&id).is_some(), again, "{dial_within} us for a connection");
     }
 }
--- a/crates/flintwell-core/tests/module/rules.rs
+++ b/crates/flintwell-core/tests/module/rules.rs
@@ -6,21 +6,21 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const ENDINGS: [Ending; 11] = [
-    Ending::Honoured,
+    Ending::Served,
     Ending::Miss,
     Ending::Full,
     Ending::Error,
     Ending::TimedOut,
     Ending::ConnectFailed,
     Ending::Reset,
-    Ending::CalledOff,
+    Ending::Cancelled,
     Ending::NotSent,
     Ending::Unknown,
     Ending::Spoilt,
 ];
 
-/// What happens next; the numbers pick a use case, key, node, access or ending.
-fn step(play: &mut Play, ids: &mut Vec<AccessId>, (what, a, b, c): (u8, usize, usize, u32)) {
+/// What happens next; the numbers pick a class, key, node, request or ending.
+fn step(play: &mut Play, ids: &mut Vec<RequestId>, (what, a, b, c): (u8, usize, usize, u32)) {
     let now = play.now();
     match what {
         0..=3 => ids.push(play.arrive(
@@ -46,16 +46,16 @@
             let id = ids[a % ids.len()].clone();
             let open = play.answer(&id).is_none();
             if open {
-                play.world.0.borrow_mut().accesses.get_mut(&id).expect("known").answer = Some("gone");
+                play.world.0.borrow_mut().requests.get_mut(&id).expect("known").answer = Some("gone");
             }
-            play.policy.access_gone(now, &id);
+            play.policy.request_gone(now, &id);
         }
         16 => play.policy.list(now, ListKind::Failed, Vec::new()),
-        // Each use case is another one's, with fewer hand-offs; those in hand know nothing of it.
+        // Each class is another one's, with fewer attempts; those in hand know nothing of it.
         _ => {
             let mut other = settings();
-            other.use_cases.rotate_left(a % 7);
-            (other.max_hand_offs, other.fleet_size) = (1 + b % 4, 1 + c);
+            other.classes.rotate_left(a % 7);
+            (other.max_attempts, other.fleet_size) = (1 + b % 4, 1 + c);
             (other.aside, other.quotas) = (play.aside, play.quotas.clone());
             play.change(other);
         }
@@ -103,7 +103,7 @@
             step(&mut play, &mut ids, (what, n * 31 % 997, n * 17 % 991, (n * 13 % 983) as u32));
         }
         let r = play.world.0.borrow();
-        let sent = r.accesses.values().flat_map(|a| a.sent.iter().map(|s| (s.node.clone(), s.at)));
+        let sent = r.requests.values().flat_map(|a| a.sent.iter().map(|s| (s.node.clone(), s.at)));
         sent.collect::<Vec<_>>()
     };
     assert_eq!(run(), run());
--- a/crates/flintwell-core/tests/module/world.rs
+++ b/crates/flintwell-core/tests/module/world.rs
@@ -1,4 +1,4 @@
-//! A small world to run the module in, and the plain model of the rules: it keeps every hand-off ever made and
+//! A small world to run the module in, and the plain model of the rules: it keeps every attempt ever made and
 //! judges each action of the module from these records alone.
 
 use flintwell_core::interface::*;
@@ -19,10 +19,10 @@
 }
 
 pub struct Held {
-    /// As it was when the access came, and how many hand-offs were allowed then.
-    pub case: UseCase,
+    /// As it was when the request came, and how many attempts were allowed then.
+    pub case: Class,
     pub most: usize,
-    pub outer_limit: Micros,
+    pub deadline: Micros,
     pub sent: Vec<Sent>,
     pub answer: Option<&'static str>,
 }
@@ -30,26 +30,26 @@
 #[derive(Default)]
 pub struct Records {
     pub now: Micros,
-    pub use_cases: Vec<UseCase>,
-    pub max_hand_offs: usize,
+    pub classes: Vec<Class>,
+    pub max_attempts: usize,
     pub listed: BTreeMap<NodeId, Entry>,
-    pub accesses: BTreeMap<AccessId, Held>,
+    pub requests: BTreeMap<RequestId, Held>,
     pub wakes: Vec<(Micros, u64)>,
     pub watches: usize,
     pub closes: usize,
 }
 
 impl Records {
-    fn end(&mut self, id: &AccessId, answer: &'static str) {
+    fn end(&mut self, id: &RequestId, answer: &'static str) {
         let now = self.now;
-        let access = self.accesses.get_mut(id).expect("an answer to an unknown access");
-        assert!(access.answer.is_none(), "a second final answer to {id}");
-        assert!(now <= access.outer_limit, "an answer to {id} past its outer limit");
-        access.answer = Some(answer);
+        let request = self.requests.get_mut(id).expect("an answer to an unknown request");
+        assert!(request.answer.is_none(), "a second final answer to {id}");
+        assert!(now <= request.deadline, "an answer to {id} past its deadline");
+        request.answer = Some(answer);
     }
-    /// The earliest hand-off that may have run or still may.
-    fn may_have_run(access: &Held) -> Option<&Sent> {
-        access.sent.iter().find(|s| s.ending.is_none_or(|e| !e.never_ran()))
+    /// The earliest attempt that may have run or still may.
+    fn may_have_run(request: &Held) -> Option<&Sent> {
+        request.sent.iter().find(|s| s.ending.is_none_or(|e| !e.never_ran()))
     }
 }
 
@@ -57,20 +57,20 @@
 pub struct World(pub Rc<RefCell<Records>>);
 
 impl Host for World {
-    fn hand_off(&mut self, id: &AccessId, node: &NodeId, allow_for: Micros) {
+    fn attempt(&mut self, id: &RequestId, node: &NodeId, allow_for: Micros) {
         let mut r = self.0.borrow_mut();
         let now = r.now;
-        let to = r.listed.get(node).expect("a hand-off to a node never listed").clone();
-        assert_eq!(to.standing, Standing::Ready, "a hand-off to a draining or gone node");
-        let access = &r.accesses[id];
-        assert!(access.answer.is_none(), "a hand-off after the final answer");
-        assert!(now < access.outer_limit && access.sent.len() < access.most && allow_for > 0);
-        assert!(access.sent.iter().all(|s| s.ending.is_some()), "two hand-offs at once");
-        let case = &access.case;
+        let to = r.listed.get(node).expect("an attempt to a node never listed").clone();
+        assert_eq!(to.standing, Standing::Ready, "an attempt to a draining or gone node");
+        let request = &r.requests[id];
+        assert!(request.answer.is_none(), "an attempt after the final answer");
+        assert!(now < request.deadline && request.sent.len() < request.most && allow_for > 0);
+        assert!(request.sent.iter().all(|s| s.ending.is_some()), "two attempts at once");
+        let case = &request.case;
         let bound = |to: &Option<Vec<u32>>, one| to.as_ref().is_some_and(|to| !to.contains(&one));
         let closed = bound(&case.kinds, to.kind) || bound(&case.zones, to.zone);
-        assert!(to.kind == ORIGIN_KIND || !closed, "{id} sent where its use case may not be");
-        if let Some(first) = Records::may_have_run(access) {
+        assert!(to.kind == ORIGIN_KIND || !closed, "{id} sent where its class may not be");
+        if let Some(first) = Records::may_have_run(request) {
             let before = &r.listed[&first.node];
             let group = match case.group {
                 Group::All => true,
@@ -78,29 +78,29 @@
                 Group::Cell => before.cell == to.cell,
             };
             let allowed = match case.effect {
-                Effect::Replayable => true,
-                Effect::Referenced => group && now < first.at + case.memory,
-                Effect::SingleUse => false,
+                Effect::Safe => true,
+                Effect::Keyed => group && now < first.at + case.memory,
+                Effect::Unsafe => false,
             };
             assert!(allowed, "{id} might run twice");
         }
-        let times_out = (now + allow_for).min(access.outer_limit);
+        let times_out = (now + allow_for).min(request.deadline);
         let sent = Sent { node: node.clone(), at: now, times_out, ending: None };
-        r.accesses.get_mut(id).expect("known").sent.push(sent);
+        r.requests.get_mut(id).expect("known").sent.push(sent);
     }
-    fn turn_back(&mut self, id: &AccessId, _: Micros) {
+    fn refuse(&mut self, id: &RequestId, _: Micros) {
         let mut r = self.0.borrow_mut();
-        let access = &r.accesses[id];
-        if let Some(first) = Records::may_have_run(access) {
-            let case = &access.case;
-            let referenced = case.effect == Effect::Referenced && case.group == Group::All;
-            let harmless = referenced && r.now < first.at + case.memory;
-            assert!(case.effect == Effect::Replayable || harmless, "{id} turned back though it may have run");
+        let request = &r.requests[id];
+        if let Some(first) = Records::may_have_run(request) {
+            let case = &request.case;
+            let keyed = case.effect == Effect::Keyed && case.group == Group::All;
+            let harmless = keyed && r.now < first.at + case.memory;
+            assert!(case.effect == Effect::Safe || harmless, "{id} refused though it may have run");
         }
-        r.end(id, "turned back");
+        r.end(id, "refused");
     }
-    fn break_off(&mut self, id: &AccessId) {
-        self.0.borrow_mut().end(id, "broken off");
+    fn fail(&mut self, id: &RequestId) {
+        self.0.borrow_mut().end(id, "failed");
     }
     fn close_idle(&mut self, _: &NodeId) {
         self.0.borrow_mut().closes += 1;
@@ -113,26 +113,31 @@
     }
 }
 
-pub fn use_case(effect: Effect, group: Group) -> UseCase {
-    let (goal_time, memory) = (600 * MS, 300 * MS);
-    UseCase { effect, group, memory, goal_time, goal_stretch: 0.0, late_share: 0.0, kinds: None, zones: None }
+pub fn class(effect: Effect, group: Group) -> Class {
+    let (latency_target, memory) = (600 * MS, 300 * MS);
+    Class {
+        effect,
+        group,
+        memory,
+        latency_target,
+        target_stretch: 0.0,
+        late_share: 0.0,
+        kinds: None,
+        zones: None,
+    }
 }
 
 pub fn settings() -> Settings {
     Settings {
-        use_cases: vec![
-            use_case(Effect::Replayable, Group::All),
-            use_case(Effect::Referenced, Group::All),
-            use_case(Effect::Referenced, Group::Zone),
-            use_case(Effect::Referenced, Group::Cell),
-            use_case(Effect::SingleUse, Group::All),
+        classes: vec![
+            class(Effect::Safe, Group::All),
+            class(Effect::Keyed, Group::All),
+            class(Effect::Keyed, Group::Zone),
+            class(Effect::Keyed, Group::Cell),
+            class(Effect::Unsafe, Group::All),
             // Bound: to the second zone, and to a kind there.
-            UseCase { zones: Some(vec![1]), ..use_case(Effect::Replayable, Group::All) },
-            UseCase {
-                kinds: Some(vec![2]),
-                zones: Some(vec![1]),
-                ..use_case(Effect::Referenced, Group::Zone)
-            },
+            Class { zones: Some(vec![1]), ..class(Effect::Safe, Group::All) },
+            Class { kinds: Some(vec![2]), zones: Some(vec![1]), ..class(Effect::Keyed, Group::Zone) },
         ],
         quotas: Vec::new(),
         aside: true,
@@ -142,7 +147,7 @@
         zones: 2,
         cross_price: 0.0,
         fleet_size: 1,
-        max_hand_offs: 4,
+        max_attempts: 4,
         max_stay_away: SECOND,
         list_on_request: true,
         ask_within: 10 * SECOND,
@@ -184,7 +189,7 @@
         let (world, now) = (World::default(), 3_600 * SECOND);
         {
             let mut r = world.0.borrow_mut();
-            (r.now, r.use_cases, r.max_hand_offs) = (now, settings.use_cases.clone(), settings.max_hand_offs);
+            (r.now, r.classes, r.max_attempts) = (now, settings.classes.clone(), settings.max_attempts);
         }
         let (aside, quotas) = (settings.aside, settings.quotas.clone());
         let policy = Policy::start(now, settings, 7, world.clone());
@@ -198,7 +203,7 @@
         for n in 0..caches * 12 {
             let id = play.arrive(0, &format!("warm {n}"), false);
             play.pass(20 * MS);
-            play.end(&id, Ending::Honoured);
+            play.end(&id, Ending::Served);
         }
         play
     }
@@ -219,44 +224,44 @@
     pub fn change(&mut self, settings: Settings) {
         {
             let mut r = self.world.0.borrow_mut();
-            (r.use_cases, r.max_hand_offs) = (settings.use_cases.clone(), settings.max_hand_offs);
+            (r.classes, r.max_attempts) = (settings.classes.clone(), settings.max_attempts);
         }
         self.policy.change(self.now(), settings);
         let listed = self.world.0.borrow().listed.values().cloned().collect();
         self.policy.list(self.now(), ListKind::Kept, listed);
     }
-    pub fn arrive(&mut self, use_case: usize, key: &str, write: bool) -> AccessId {
+    pub fn arrive(&mut self, class: usize, key: &str, write: bool) -> RequestId {
         self.count += 1;
-        let id: AccessId = format!("a{}", self.count).into();
-        let outer_limit = self.now() + 1_200 * MS;
+        let id: RequestId = format!("a{}", self.count).into();
+        let deadline = self.now() + 1_200 * MS;
         {
             let mut r = self.world.0.borrow_mut();
-            let (case, most) = (r.use_cases[use_case].clone(), r.max_hand_offs);
-            r.accesses.insert(id.clone(), Held { case, most, outer_limit, sent: Vec::new(), answer: None });
+            let (case, most) = (r.classes[class].clone(), r.max_attempts);
+            r.requests.insert(id.clone(), Held { case, most, deadline, sent: Vec::new(), answer: None });
         }
         let key = Some(Key::from(key));
-        let arrival = Arrival { id: id.clone(), use_case, tenant: 0, key, outer_limit, work: None, write };
-        self.policy.access_arrives(self.now(), arrival);
+        let arrival = Arrival { id: id.clone(), class, tenant: 0, key, deadline, work: None, write };
+        self.policy.request_arrives(self.now(), arrival);
         id
     }
-    /// Ends the hand-off that is out, if one is; at the host a success is the access's final answer.
-    pub fn end(&mut self, id: &AccessId, ending: Ending) {
+    /// Ends the attempt that is out, if one is; at the host a success is the request's final answer.
+    pub fn end(&mut self, id: &RequestId, ending: Ending) {
         self.end_on(id, ending, false);
     }
     /// The same, on a connection opened for it or on a used one.
-    pub fn end_on(&mut self, id: &AccessId, ending: Ending, first: bool) {
+    pub fn end_on(&mut self, id: &RequestId, ending: Ending, first: bool) {
         let now = self.now();
         let (node, number, wait, settled) = {
             let mut r = self.world.0.borrow_mut();
-            let access = r.accesses.get_mut(id).expect("known");
-            let number = access.sent.len().wrapping_sub(1);
-            let Some(sent) = access.sent.last_mut().filter(|s| s.ending.is_none()) else { return };
+            let request = r.requests.get_mut(id).expect("known");
+            let number = request.sent.len().wrapping_sub(1);
+            let Some(sent) = request.sent.last_mut().filter(|s| s.ending.is_none()) else { return };
             sent.ending = Some(ending);
             let (node, wait) = (sent.node.clone(), now - sent.at);
-            if ending == Ending::Honoured && access.answer.is_none() {
-                access.answer = Some("honoured");
+            if ending == Ending::Served && request.answer.is_none() {
+                request.answer = Some("served");
             }
-            (node, number, wait, access.answer.is_some())
+            (node, number, wait, request.answer.is_some())
         };
         let outcome = Outcome { number, ending, wait, settled, first };
         self.policy.outcome(now, id, &node, outcome);
@@ -267,7 +272,7 @@
         loop {
             let (wake, out) = {
                 let r = self.world.0.borrow();
-                let out = r.accesses.iter().filter_map(|(id, a)| {
+                let out = r.requests.iter().filter_map(|(id, a)| {
                     a.sent.last().filter(|s| s.ending.is_none()).map(|s| (s.times_out, id.clone()))
                 });
                 (r.wakes.iter().min().copied(), out.min())
@@ -289,17 +294,17 @@
             }
         }
     }
-    /// The accesses with a hand-off out.
-    pub fn out(&self) -> Vec<AccessId> {
+    /// The requests with an attempt out.
+    pub fn out(&self) -> Vec<RequestId> {
         let r = self.world.0.borrow();
         let out = |a: &Held| a.sent.last().is_some_and(|s| s.ending.is_none());
-        r.accesses.iter().filter(|(_, a)| out(a)).map(|(id, _)| id.clone()).collect()
+        r.requests.iter().filter(|(_, a)| out(a)).map(|(id, _)| id.clone()).collect()
     }
-    pub fn node_of(&self, id: &AccessId) -> Option<NodeId> {
+    pub fn node_of(&self, id: &RequestId) -> Option<NodeId> {
         let r = self.world.0.borrow();
-        r.accesses[id].sent.last().filter(|s| s.ending.is_none()).map(|s| s.node.clone())
+        r.requests[id].sent.last().filter(|s| s.ending.is_none()).map(|s| s.node.clone())
     }
-    pub fn answer(&self, id: &AccessId) -> Option<&'static str> {
-        self.world.0.borrow().accesses[id].answer
+    pub fn answer(&self, id: &RequestId) -> Option<&'static str> {
+        self.world.0.borrow().requests[id].answer
     }
 }
--- a/crates/flintwell-core/tests/ramp.rs
+++ b/crates/flintwell-core/tests/ramp.rs
@@ -35,14 +35,13 @@
 
 #[derive(Clone, Default)]
 struct Out(Rc<RefCell<Vec<(RequestId, NodeId)>>>);
-type RequestId = AccessId;
 
 impl Host for Out {
-    fn hand_off(&mut self, access: &AccessId, node: &NodeId, _: Micros) {
-        self.0.borrow_mut().push((access.clone(), node.clone()));
+    fn attempt(&mut self, request: &RequestId, node: &NodeId, _: Micros) {
+        self.0.borrow_mut().push((request.clone(), node.clone()));
     }
-    fn turn_back(&mut self, _: &AccessId, _: Micros) {}
-    fn break_off(&mut self, _: &AccessId) {}
+    fn refuse(&mut self, _: &RequestId, _: Micros) {}
+    fn fail(&mut self, _: &RequestId) {}
     fn close_idle(&mut self, _: &NodeId) {}
     fn wake_at(&mut self, _: u64, _: Micros) {}
     fn watch_list(&mut self) {}
@@ -50,12 +49,12 @@
 
 fn settings(index: usize, fleet: Fleet) -> Settings {
     Settings {
-        use_cases: vec![UseCase {
-            effect: Effect::Replayable,
+        classes: vec![Class {
+            effect: Effect::Safe,
             group: Group::All,
             memory: 0,
-            goal_time: 600 * MS,
-            goal_stretch: 0.0,
+            latency_target: 600 * MS,
+            target_stretch: 0.0,
             late_share: 0.0,
             kinds: None,
             zones: None,
@@ -68,7 +67,7 @@
         zones: 1,
         cross_price: 0.0,
         fleet_size: fleet.proxies as u32,
-        max_hand_offs: 4,
+        max_attempts: 4,
         max_stay_away: SECOND,
         list_on_request: false,
         ask_within: 10 * SECOND,
@@ -118,7 +117,7 @@
         while let Some((&(at, number), _)) = ends.first_key_value().filter(|(at, _)| at.0 <= now) {
             let (proxy, id, node) = ends.remove(&(at, number)).expect("it");
             let outcome =
-                Outcome { number: 0, ending: Ending::Honoured, wait: ANSWER, settled: true, first: false };
+                Outcome { number: 0, ending: Ending::Served, wait: ANSWER, settled: true, first: false };
             policies[proxy].outcome(at, &id, &node, outcome);
         }
         if now >= told && !is_told {
@@ -139,10 +138,9 @@
         count += 1;
         let id: RequestId = format!("r{count}").into();
         let named = Some(Key::from(format!("key-{seed}-{key}")));
-        let outer_limit = now + SECOND;
-        let arrival =
-            Arrival { id, use_case: 0, tenant: 0, key: named, outer_limit, work: None, write: false };
-        policies[proxy].access_arrives(now, arrival);
+        let deadline = now + SECOND;
+        let arrival = Arrival { id, class: 0, tenant: 0, key: named, deadline, work: None, write: false };
+        policies[proxy].request_arrives(now, arrival);
         for (id, node) in outs[proxy].0.borrow_mut().drain(..) {
             if node == cold_id && is_told {
                 sent.push(now);
--- a/crates/flintwell-emulator/examples/goodput.rs
+++ b/crates/flintwell-emulator/examples/goodput.rs
@@ -7,7 +7,7 @@
 const ROOM: usize = 24; // fetches at once of 0.12 s: two hundred a second
 
 fn main() {
-    println!("offered/what the origin does  words seed  in time a second  fetched  refused  turned back");
+    println!("offered/what the origin does  words seed  in time a second  fetched  refused  refused");
     for times in [0.5, 1.0, 2.0, 5.0, 10.0] {
         for words in [false, true] {
             for seed in 1..=3 {
@@ -31,8 +31,8 @@
                     "{times:28.1}  {words:5} {seed:4}  {:16.0} {:8.0} {:8.0} {:12.0}",
                     each(sum.in_time),
                     each(sum.fetched),
-                    each(sum.refused),
-                    each(sum.turned_back)
+                    each(sum.origin_refused),
+                    each(sum.refused)
                 );
             }
         }
--- a/crates/flintwell-emulator/examples/overload.rs
+++ b/crates/flintwell-emulator/examples/overload.rs
@@ -9,7 +9,7 @@
     let fixed = std::env::args().any(|argument| argument == "fixed");
     let most: usize = std::env::args().filter_map(|argument| argument.parse().ok()).next().unwrap_or(1_000);
     println!(
-        "proxies words seed  refused/fetched fetched/s  in time  turned back | after: 1st s   2nd s   3rd s | datagrams, bytes a proxy and second, excess"
+        "proxies words seed  refused/fetched fetched/s  in time  refused | after: 1st s   2nd s   3rd s | datagrams, bytes a proxy and second, excess"
     );
     for proxies in [1usize, 12, 48, 100, 300, 1_000].into_iter().filter(|&proxies| proxies <= most) {
         for words in [false, true] {
@@ -35,15 +35,15 @@
                 let during = outcome.sum(10, 18);
                 let share = |n: usize| {
                     let one = outcome.sum(n, n + 1);
-                    one.in_time as f64 / one.accesses.max(1) as f64
+                    one.in_time as f64 / one.requests.max(1) as f64
                 };
                 let all = outcome.sum(0, 24);
                 println!(
                     "{proxies:7} {words:5} {seed:4}  {:15.2} {:9.1}  {:7.3}  {:11} | {:5.3} {:5.3} {:5.3} | {:.1} {:.0} {} {} {}",
-                    during.refused as f64 / during.fetched.max(1) as f64,
+                    during.origin_refused as f64 / during.fetched.max(1) as f64,
                     during.fetched as f64 / 8.0,
-                    during.in_time as f64 / during.accesses.max(1) as f64,
-                    during.turned_back,
+                    during.in_time as f64 / during.requests.max(1) as f64,
+                    during.refused,
                     share(18),
                     share(19),
                     share(20),
--- a/crates/flintwell-emulator/examples/silent.rs
+++ b/crates/flintwell-emulator/examples/silent.rs
@@ -1,4 +1,4 @@
-//! A third of the cache nodes, a zone, says nothing for ten seconds while the list says nothing either: hand-offs into
+//! A third of the cache nodes, a zone, says nothing for ten seconds while the list says nothing either: attempts into
 //! it, by size of the fleet, with words between proxies and without.
 //! `cargo run --release -p flintwell-emulator --example silent`
 
@@ -29,7 +29,7 @@
                 let outcome = play(&shape, &faults);
                 let share = |from, to| {
                     let sum = outcome.sum(from, to);
-                    sum.in_time as f64 / sum.accesses.max(1) as f64
+                    sum.in_time as f64 / sum.requests.max(1) as f64
                 };
                 let (first, all) = (outcome.sum(8, 10).unheard, outcome.sum(8, 18).unheard);
                 println!(
--- a/crates/flintwell-emulator/src/plan.rs
+++ b/crates/flintwell-emulator/src/plan.rs
@@ -13,12 +13,12 @@
     /// Fetches at once; what comes beyond is refused.
     pub origin_room: usize,
     pub origin_time: i64,
-    /// Accesses a second at each proxy.
+    /// Requests a second at each proxy.
     pub rate: f64,
     pub keys: u64,
     /// The share of reads for a key that nobody asked for before.
     pub new_keys: f64,
-    /// How often one that is turned back comes again.
+    /// How often one that is refused comes again.
     pub again: u32,
     /// Proxies may speak to one another.
     pub words: bool,
@@ -68,12 +68,12 @@
         below: usize,
     },
     Heal,
-    /// Cache nodes of this zone take accesses and say nothing, or answer again.
+    /// Cache nodes of this zone take requests and say nothing, or answer again.
     Silent {
         zone: u32,
         on: bool,
     },
-    /// Accesses a second at each proxy from now on; 0 at those at or above the number.
+    /// Requests a second at each proxy from now on; 0 at those at or above the number.
     Load {
         rate: f64,
         below: usize,
@@ -88,15 +88,15 @@
 pub struct Second {
     /// First asked for, without those that come again.
     pub fresh: u64,
-    pub accesses: u64,
-    pub honoured: u64,
+    pub requests: u64,
+    pub served: u64,
     pub in_time: u64,
-    pub turned_back: u64,
-    pub broken_off: u64,
+    pub refused: u64,
+    pub failed: u64,
     /// By the origin.
     pub fetched: u64,
-    pub refused: u64,
-    /// Hand-offs to nodes that say nothing.
+    pub origin_refused: u64,
+    /// Attempts to nodes that say nothing.
     pub unheard: u64,
     pub datagrams: u64,
     pub bytes: u64,
@@ -107,7 +107,7 @@
     pub seconds: Vec<Second>,
     /// The most by which units in use were above those there are; 0 where the loans hold.
     pub excess: u32,
-    /// Accesses with no final answer, or a second one, but for those that a restart took.
+    /// Requests with no final answer, or a second one, but for those that a restart took.
     pub lost: u64,
     pub doubled: u64,
 }
@@ -118,13 +118,13 @@
         let mut sum = Second::default();
         for one in self.seconds.iter().take(to).skip(from) {
             sum.fresh += one.fresh;
-            sum.accesses += one.accesses;
-            sum.honoured += one.honoured;
+            sum.requests += one.requests;
+            sum.served += one.served;
             sum.in_time += one.in_time;
-            sum.turned_back += one.turned_back;
-            sum.broken_off += one.broken_off;
-            sum.fetched += one.fetched;
             sum.refused += one.refused;
+            sum.failed += one.failed;
+            sum.fetched += one.fetched;
+            sum.origin_refused += one.origin_refused;
             sum.unheard += one.unheard;
             sum.datagrams += one.datagrams;
             sum.bytes += one.bytes;
--- a/crates/flintwell-emulator/src/run.rs
+++ b/crates/flintwell-emulator/src/run.rs
@@ -3,8 +3,8 @@
 use crate::node::Node;
 use crate::plan::{Fault, Outcome, Second, Shape};
 use flintwell_core::interface::{
-    AccessId, Arrival, Effect, Ending, Entry, Group, Host, Key, ListKind, Micros, NodeId, Settings, Sizes,
-    Standing, UseCase,
+    Arrival, Class, Effect, Ending, Entry, Group, Host, Key, ListKind, Micros, NodeId, RequestId, Settings,
+    Sizes, Standing,
 };
 use flintwell_core::policy::Policy;
 use flintwell_membership::member::{self, Id, Mail, Member};
@@ -22,16 +22,16 @@
 const PATH: Micros = 200; // us one way, between any two parties
 const SPREAD: Micros = 100; // us; the most by which a datagram is later than that
 const REFUSAL: Micros = 300; // us in which a full node says so
-const GOAL: Micros = 500_000; // us
-const OUTER: Micros = 1_000_000; // us
+const TARGET: Micros = 500_000; // us
+const DEADLINE: Micros = 1_000_000; // us
 const PORT: u16 = 7_000;
 const SKEW: f64 = 0.8; // of the keys' Zipf law
 const SECOND: Micros = 1_000_000;
 
 enum Action {
-    HandOff(AccessId, NodeId, Micros),
-    TurnBack(AccessId, Micros),
-    BreakOff(AccessId),
+    Attempt(RequestId, NodeId, Micros),
+    Refuse(RequestId, Micros),
+    Fail(RequestId),
     Wake(u64, Micros),
 }
 
@@ -39,14 +39,14 @@
 struct Out(Rc<RefCell<Vec<Action>>>);
 
 impl Host for Out {
-    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros) {
-        self.0.borrow_mut().push(Action::HandOff(access.clone(), node.clone(), allow_for));
+    fn attempt(&mut self, request: &RequestId, node: &NodeId, allow_for: Micros) {
+        self.0.borrow_mut().push(Action::Attempt(request.clone(), node.clone(), allow_for));
     }
-    fn turn_back(&mut self, access: &AccessId, stay_away: Micros) {
-        self.0.borrow_mut().push(Action::TurnBack(access.clone(), stay_away));
+    fn refuse(&mut self, request: &RequestId, stay_away: Micros) {
+        self.0.borrow_mut().push(Action::Refuse(request.clone(), stay_away));
     }
-    fn break_off(&mut self, access: &AccessId) {
-        self.0.borrow_mut().push(Action::BreakOff(access.clone()));
+    fn fail(&mut self, request: &RequestId) {
+        self.0.borrow_mut().push(Action::Fail(request.clone()));
     }
     fn close_idle(&mut self, _: &NodeId) {}
     fn wake_at(&mut self, label: u64, at: Micros) {
@@ -55,11 +55,11 @@
     fn watch_list(&mut self) {}
 }
 
-struct Access {
+struct Request {
     key: u64,
     came: Micros,
     again: u32,
-    hand_offs: usize,
+    attempts: usize,
     out: Option<usize>,
     over: bool,
     /// Caches that lacked its key.
@@ -72,7 +72,7 @@
     life: u64,
     paused_until: Micros,
     rate: f64,
-    accesses: HashMap<AccessId, Access>,
+    requests: HashMap<RequestId, Request>,
     counted: Counted,
     speaks: Option<(Member, Share, Probes)>,
     lies: bool,
@@ -81,9 +81,9 @@
 enum Event {
     Client(usize),
     Arrives { proxy: usize, key: u64, again: u32 },
-    AtNode { proxy: usize, id: AccessId, node: usize, number: usize, sent: Micros },
+    AtNode { proxy: usize, id: RequestId, node: usize, number: usize, sent: Micros },
     Free(usize),
-    Ends { proxy: usize, id: AccessId, node: usize, number: usize, sent: Micros, ending: Ending },
+    Ends { proxy: usize, id: RequestId, node: usize, number: usize, sent: Micros, ending: Ending },
     Wakes { proxy: usize, life: u64, label: u64 },
     Datagram { to: usize, bytes: Vec<u8> },
     Ticks { proxy: usize, life: u64 },
@@ -134,18 +134,18 @@
 }
 
 fn settings(shape: &Shape, index: usize) -> Settings {
-    let case = UseCase {
-        effect: Effect::Replayable,
+    let case = Class {
+        effect: Effect::Safe,
         group: Group::All,
         memory: 0,
-        goal_time: GOAL,
-        goal_stretch: 0.0,
+        latency_target: TARGET,
+        target_stretch: 0.0,
         late_share: 0.0,
         kinds: None,
         zones: None,
     };
     Settings {
-        use_cases: vec![case],
+        classes: vec![case],
         quotas: Vec::new(),
         aside: true,
         origin_kind: Some(1),
@@ -154,7 +154,7 @@
         zones: shape.zones,
         cross_price: 0.0,
         fleet_size: shape.proxies as u32,
-        max_hand_offs: 4,
+        max_attempts: 4,
         max_stay_away: 1_500_000,
         list_on_request: false,
         ask_within: 10 * SECOND,
@@ -174,7 +174,7 @@
     let end = shape.seconds * SECOND;
     // What was asked last gets its answer.
     while let Some((&(at, count), _)) = world.events.first_key_value() {
-        if at > end + 2 * OUTER {
+        if at > end + 2 * DEADLINE {
             break;
         }
         world.now = at;
@@ -182,8 +182,8 @@
             world.happens(event, end);
         }
     }
-    let open = world.proxies.iter().flat_map(|proxy| proxy.accesses.values());
-    world.outcome.lost = open.filter(|access| !access.over).count() as u64;
+    let open = world.proxies.iter().flat_map(|proxy| proxy.requests.values());
+    world.outcome.lost = open.filter(|request| !request.over).count() as u64;
     world.outcome.seconds.truncate(shape.seconds as usize);
     world.outcome
 }
@@ -261,7 +261,7 @@
             life,
             paused_until: 0,
             rate: self.shape.rate,
-            accesses: HashMap::new(),
+            requests: HashMap::new(),
             counted: Counted::default(),
             speaks,
             lies: false,
@@ -360,21 +360,21 @@
 
     fn arrives(&mut self, n: usize, key: u64, again: u32) {
         self.names += 1;
-        let (now, id) = (self.now, AccessId::from(format!("a{}", self.names)));
-        self.second(now).accesses += 1;
-        let access =
-            Access { key, came: now, again, hand_offs: 0, out: None, over: false, missed: Vec::new() };
-        self.proxies[n].accesses.insert(id.clone(), access);
+        let (now, id) = (self.now, RequestId::from(format!("a{}", self.names)));
+        self.second(now).requests += 1;
+        let request =
+            Request { key, came: now, again, attempts: 0, out: None, over: false, missed: Vec::new() };
+        self.proxies[n].requests.insert(id.clone(), request);
         let arrival = Arrival {
             id,
-            use_case: 0,
+            class: 0,
             tenant: 0,
             key: Some(Key::from(key.to_string())),
-            outer_limit: now + OUTER,
+            deadline: now + DEADLINE,
             work: None,
             write: false,
         };
-        self.proxies[n].policy.access_arrives(now, arrival);
+        self.proxies[n].policy.request_arrives(now, arrival);
         self.drains(n);
     }
 
@@ -391,12 +391,12 @@
                     Action::Wake(label, at) => {
                         self.at(at.max(self.now), Event::Wakes { proxy: n, life, label });
                     }
-                    Action::HandOff(id, node, allow_for) => {
+                    Action::Attempt(id, node, allow_for) => {
                         let Some(&place) = self.places.get(&node) else { continue };
-                        let Some(access) = self.proxies[n].accesses.get_mut(&id) else { continue };
-                        let (number, sent) = (access.hand_offs, self.now);
-                        access.hand_offs += 1;
-                        access.out = Some(number);
+                        let Some(request) = self.proxies[n].requests.get_mut(&id) else { continue };
+                        let (number, sent) = (request.attempts, self.now);
+                        request.attempts += 1;
+                        request.out = Some(number);
                         self.at(
                             sent + PATH,
                             Event::AtNode { proxy: n, id: id.clone(), node: place, number, sent },
@@ -407,18 +407,18 @@
                             Event::Ends { proxy: n, id, node: place, number, sent, ending },
                         );
                     }
-                    Action::TurnBack(id, stay_away) => {
+                    Action::Refuse(id, stay_away) => {
                         let Some((key, again)) = self.answered(n, &id) else { continue };
-                        self.second(self.now).turned_back += 1;
+                        self.second(self.now).refused += 1;
                         if again < self.shape.again {
                             // Clients heed the advice, and none comes at the very moment.
                             let wait = stay_away.max(50_000) + self.rng.random_range(0..50_000);
                             self.at(self.now + wait, Event::Arrives { proxy: n, key, again: again + 1 });
                         }
                     }
-                    Action::BreakOff(id) => {
+                    Action::Fail(id) => {
                         if self.answered(n, &id).is_some() {
-                            self.second(self.now).broken_off += 1;
+                            self.second(self.now).failed += 1;
                         }
                     }
                 }
@@ -427,29 +427,29 @@
     }
 
     /// A final answer; its key and how often it came again.
-    fn answered(&mut self, n: usize, id: &AccessId) -> Option<(u64, u32)> {
-        let access = self.proxies[n].accesses.get_mut(id)?;
-        self.outcome.doubled += u64::from(access.over);
-        access.over = true;
-        let told = (access.key, access.again);
-        if access.out.is_none() {
-            self.proxies[n].accesses.remove(id);
+    fn answered(&mut self, n: usize, id: &RequestId) -> Option<(u64, u32)> {
+        let request = self.proxies[n].requests.get_mut(id)?;
+        self.outcome.doubled += u64::from(request.over);
+        request.over = true;
+        let told = (request.key, request.again);
+        if request.out.is_none() {
+            self.proxies[n].requests.remove(id);
         }
         Some(told)
     }
 
-    fn at_node(&mut self, proxy: usize, id: AccessId, node: usize, number: usize, sent: Micros) {
+    fn at_node(&mut self, proxy: usize, id: RequestId, node: usize, number: usize, sent: Micros) {
         let origin = node + 1 == self.nodes.len();
         let now = self.now;
-        let Some(access) = self.proxies[proxy].accesses.get(&id) else { return };
-        let (key, missed) = (access.key, access.missed.clone());
+        let Some(request) = self.proxies[proxy].requests.get(&id) else { return };
+        let (key, missed) = (request.key, request.missed.clone());
         if self.nodes[node].1.silent {
             self.second(now).unheard += 1;
             return;
         }
         let (at, ending) = match self.nodes[node].1.takes(now) {
             None => {
-                self.second(now).refused += u64::from(origin);
+                self.second(now).origin_refused += u64::from(origin);
                 (now + REFUSAL, Ending::Full)
             }
             Some(done) => {
@@ -459,9 +459,9 @@
                     missed.iter().for_each(|&cache| {
                         self.nodes[cache].1.values.insert(key);
                     });
-                    (done, Ending::Honoured)
+                    (done, Ending::Served)
                 } else if self.nodes[node].1.values.contains(&key) {
-                    (done, Ending::Honoured)
+                    (done, Ending::Served)
                 } else {
                     (done, Ending::Miss)
                 }
@@ -470,36 +470,36 @@
         self.at(at + PATH, Event::Ends { proxy, id, node, number, sent, ending });
     }
 
-    fn ends(&mut self, n: usize, id: &AccessId, node: usize, number: usize, sent: Micros, ending: Ending) {
+    fn ends(&mut self, n: usize, id: &RequestId, node: usize, number: usize, sent: Micros, ending: Ending) {
         let now = self.now;
         let origin = node + 1 == self.nodes.len();
-        let Some(access) = self.proxies[n].accesses.get_mut(id) else { return };
+        let Some(request) = self.proxies[n].requests.get_mut(id) else { return };
         // What ended before ends no second time.
-        if access.out != Some(number) {
+        if request.out != Some(number) {
             return;
         }
-        access.out = None;
+        request.out = None;
         if ending == Ending::Miss {
-            access.missed.push(node);
+            request.missed.push(node);
         }
-        let before = access.over;
-        access.over |= ending == Ending::Honoured;
-        let (settled, came) = (access.over, access.came);
+        let before = request.over;
+        request.over |= ending == Ending::Served;
+        let (settled, came) = (request.over, request.came);
         if origin {
             let counted = &mut self.proxies[n].counted;
-            counted.taken += u64::from(ending == Ending::Honoured);
+            counted.taken += u64::from(ending == Ending::Served);
             counted.refused += u64::from(ending == Ending::Full);
         }
-        if ending == Ending::Honoured && !before {
+        if ending == Ending::Served && !before {
             let second = self.second(now);
-            second.honoured += 1;
-            second.in_time += u64::from(now <= came + GOAL);
+            second.served += 1;
+            second.in_time += u64::from(now <= came + TARGET);
         }
         let (name, wait) = (self.nodes[node].0.clone(), now - sent);
         let outcome = flintwell_core::interface::Outcome { number, ending, wait, settled, first: false };
         self.proxies[n].policy.outcome(now, id, &name, outcome);
         if settled {
-            self.proxies[n].accesses.remove(id);
+            self.proxies[n].requests.remove(id);
         }
         self.drains(n);
     }
--- a/crates/flintwell-emulator/tests/overload.rs
+++ b/crates/flintwell-emulator/tests/overload.rs
@@ -14,10 +14,10 @@
     (5 * SECOND, Fault::OriginRoom(5))
 }
 
-/// Refused for one fetched, and the share honoured, once the fleet has learned.
+/// Refused for one fetched, and the share served, once the fleet has learned.
 fn later(outcome: &Outcome) -> (f64, f64) {
     let sum = outcome.sum(8, outcome.seconds.len());
-    (sum.refused as f64 / sum.fetched.max(1) as f64, sum.honoured as f64 / sum.accesses.max(1) as f64)
+    (sum.origin_refused as f64 / sum.fetched.max(1) as f64, sum.served as f64 / sum.requests.max(1) as f64)
 }
 
 fn whole(outcome: &Outcome) {
@@ -40,9 +40,9 @@
     let (silent, speaks) = (play(&fleet(false), &[weak]), play(&fleet(true), &[weak]));
     whole(&silent);
     whole(&speaks);
-    let ((refused, honoured), (refused_words, honoured_words)) = (later(&silent), later(&speaks));
+    let ((refused, served), (refused_words, served_words)) = (later(&silent), later(&speaks));
     assert!(refused_words < 0.7 * refused, "{refused} and {refused_words} refused for one fetched");
-    assert!(honoured_words > honoured - 0.03, "{honoured} and {honoured_words} honoured");
+    assert!(served_words > served - 0.03, "{served} and {served_words} served");
     let bytes = speaks.sum(4, 14).bytes as f64 / 10.0 / 96.0;
     assert!(bytes < 3_000.0, "{bytes} bytes a proxy and second");
 }
@@ -58,9 +58,9 @@
     whole(&speaks);
     // Once each has found out: the first seconds are the same for all.
     let (tries, tries_words) = (alone.sum(7, 13).unheard, speaks.sum(7, 13).unheard);
-    assert!(tries_words * 2 < tries, "{tries} and {tries_words} hand-offs into it");
+    assert!(tries_words * 2 < tries, "{tries} and {tries_words} attempts into it");
     let back = speaks.sum(14, 16);
-    assert!(back.honoured as f64 > 0.97 * back.accesses as f64, "{} of {}", back.honoured, back.accesses);
+    assert!(back.served as f64 > 0.97 * back.requests as f64, "{} of {}", back.served, back.requests);
 }
 
 #[test]
@@ -77,9 +77,9 @@
         faults.push(weak());
         let outcome = play(&Shape { loss: 0.05, ..shape(true, 2) }, &faults);
         whole(&outcome);
-        let (refused, honoured) = later(&outcome);
+        let (refused, served) = later(&outcome);
         assert!(refused < 1.3, "{name}: {refused} refused for one fetched");
-        assert!(honoured > calm.1 - 0.1, "{name}: {honoured} honoured, {} without", calm.1);
+        assert!(served > calm.1 - 0.1, "{name}: {served} served, {} without", calm.1);
     }
 }
 
@@ -91,7 +91,7 @@
         let outcome = play(&shape, &[weak(), (10 * SECOND, Fault::OriginRoom(20))]);
         whole(&outcome);
         let (before, after) = (outcome.sum(2, 5), outcome.sum(13, 16));
-        let share = |sum: &flintwell_emulator::plan::Second| sum.honoured as f64 / sum.accesses as f64;
+        let share = |sum: &flintwell_emulator::plan::Second| sum.served as f64 / sum.requests as f64;
         assert!(
             share(&after) > share(&before) - 0.02,
             "words {words}: {} before, {} after",
--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -2,10 +2,10 @@
 
 pub mod listing;
 
-use flintwell_core::interface::{Effect, Group, Micros, Settings, Sizes, UseCase};
+use flintwell_core::interface::{Class, Effect, Group, Micros, Settings, Sizes};
 use serde_json::Value;
 
-const LONGEST: Micros = 3_000_000; // us; where no use case gives an outer limit
+const LONGEST: Micros = 3_000_000; // us; where no class gives a deadline
 
 pub fn micros(seconds: f64) -> Micros {
     (seconds * 1e6).round() as Micros
@@ -39,15 +39,15 @@
     all.collect::<Option<_>>().map(Some).ok_or_else(wrong)
 }
 
-fn use_case(value: &Value, conf: &Value) -> Result<UseCase, String> {
+fn class(value: &Value, conf: &Value) -> Result<Class, String> {
     let span = |name: &str| number(value, name).map(micros);
     let need = |name: &str| span(name).ok_or_else(|| format!("settings: use_cases needs {}", &name[1..]));
-    Ok(UseCase {
+    Ok(Class {
         // An effect or a group that is not known is taken for the strictest.
         effect: match text(value, "/effect") {
-            Some("safe") => Effect::Replayable,
-            Some("keyed") => Effect::Referenced,
-            _ => Effect::SingleUse,
+            Some("safe") => Effect::Safe,
+            Some("keyed") => Effect::Keyed,
+            _ => Effect::Unsafe,
         },
         group: match text(value, "/group") {
             Some("all") => Group::All,
@@ -55,8 +55,8 @@
             _ => Group::Cell,
         },
         memory: span("/key_ttl").unwrap_or(0),
-        goal_time: need("/goal_time")?,
-        goal_stretch: number(value, "/aim_stretch").unwrap_or(0.0),
+        latency_target: need("/goal_time")?,
+        target_stretch: number(value, "/aim_stretch").unwrap_or(0.0),
         late_share: number(value, "/overdue_earnings").unwrap_or(0.0),
         kinds: places(value, BOUND[0].0, list(conf, BOUND[0].1))?,
         zones: places(value, BOUND[1].0, list(conf, BOUND[1].1))?,
@@ -83,7 +83,7 @@
 
 const ASK_LEAST: f64 = 0.5; // seconds; no call for the list is surely answered in less
 
-/// Every setting that is read, beside names and what use cases and tenants hold.
+/// Every setting that is read, beside names and what classes and tenants hold.
 const CHECKED: [(&str, Needed); 24] = [
     ("/index", COUNT),
     ("/locality", COUNT),
@@ -117,9 +117,9 @@
     ("/aim_stretch", COUNT),
     ("/overdue_earnings", Needed::Number(0.0, 1.0)),
 ];
-/// What a use case is bound to, and where its names stand.
+/// What a class is bound to, and where its names stand.
 const BOUND: [(&str, &str); 2] = [("/bound_to", "/flavors"), ("/zones_allowed", "/zones")];
-const CHECKED_TENANT: (&str, Needed) = ("/quota_rps", Needed::Number(0.0, 1e9)); // accesses a second
+const CHECKED_TENANT: (&str, Needed) = ("/quota_rps", Needed::Number(0.0, 1e9)); // requests a second
 
 fn check_one(conf: &Value, place: &str, (path, needed): (&str, Needed)) -> Result<(), String> {
     let Some(value) = conf.pointer(path).filter(|value| !value.is_null()) else { return Ok(()) };
@@ -182,7 +182,7 @@
         return Err(format!("settings: {} can't change without a restart", told(path)));
     }
     for (path, name) in NAMED {
-        // Danger: an access is decoded under the old names and decided on under the new ones.
+        // Danger: a request is decoded under the old names and decided on under the new ones.
         let kept = |(old, new): (&Value, &Value)| old.pointer(name) == new.pointer(name);
         let (old, new) = (list(old, path), list(new, path));
         if new.len() < old.len() || !old.iter().zip(new).all(kept) {
@@ -209,10 +209,7 @@
 pub fn decode(conf: &Value) -> Result<Settings, String> {
     let span = |path: &str| number(conf, path).map_or(0, micros);
     Ok(Settings {
-        use_cases: list(conf, "/use_cases")
-            .iter()
-            .map(|case| use_case(case, conf))
-            .collect::<Result<_, _>>()?,
+        classes: list(conf, "/use_cases").iter().map(|case| class(case, conf)).collect::<Result<_, _>>()?,
         quotas: list(conf, "/realms").iter().map(|r| number(r, "/quota_rps").unwrap_or(f64::MAX)).collect(),
         aside: text(conf, "/specifics/mode") == Some("aside"),
         origin_kind: number(conf, "/specifics/origin_kind").filter(|&k| k >= 0.0).map(|k| k as u32),
@@ -221,7 +218,7 @@
         zones: list(conf, "/zones").len() as u32,
         cross_price: number(conf, "/penalties/cross_zone").unwrap_or(0.0),
         fleet_size: number(conf, "/fleet_size").unwrap_or(1.0) as u32,
-        max_hand_offs: number(conf, "/limits/max_hand_offs").unwrap_or(1.0) as usize,
+        max_attempts: number(conf, "/limits/max_hand_offs").unwrap_or(1.0) as usize,
         max_stay_away: if flag(conf, "/limits/retry_after") { span("/limits/max_retry_after") } else { 0 },
         list_on_request: text(conf, "/discovery") == Some("on_request"),
         ask_within: number(conf, "/guarantees/ask_within").map_or(10_000_000, micros),
@@ -249,7 +246,7 @@
 /// figures of connections.
 #[derive(Clone, Debug)]
 pub struct Network {
-    pub use_cases: Vec<String>,
+    pub classes: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -271,12 +268,12 @@
         let span = number(conf, path).filter(|&span| span > 0.0).map(micros);
         span.ok_or_else(|| format!("settings: {} is missing or not above 0", &path[1..].replace('/', ".")))
     };
-    let use_cases = names("/use_cases", "/name");
-    if use_cases.is_empty() || use_cases.iter().any(String::is_empty) {
+    let classes = names("/use_cases", "/name");
+    if classes.is_empty() || classes.iter().any(String::is_empty) {
         return Err("settings: use_cases is empty, or one has no name".into());
     }
     Ok(Network {
-        use_cases,
+        classes,
         tenants: names("/realms", "/name"),
         zones: names("/zones", ""),
         kinds: names("/flavors", ""),
--- a/crates/flintwell-settings/src/tests.rs
+++ b/crates/flintwell-settings/src/tests.rs
@@ -2,11 +2,11 @@
 use serde_json::json;
 
 #[test]
-fn a_use_case_is_bound_by_names_or_by_places() {
+fn a_class_is_bound_by_names_or_by_places() {
     let conf = json!({"zones": ["a", "b"], "flavors": ["m1", "m2", "origin"], "use_cases": [
         {"goal_time": 1, "bound_to": ["m2"], "zones_allowed": [1, "a"]}, {"goal_time": 1, "bound_to": []},
         {"goal_time": 1}]});
-    let cases = decode(&conf).expect("settings").use_cases;
+    let cases = decode(&conf).expect("settings").classes;
     assert_eq!((&cases[0].kinds, &cases[0].zones), (&Some(vec![1]), &Some(vec![1, 0])));
     assert_eq!((&cases[1].kinds, &cases[2].kinds), (&Some(vec![]), &None), "bound to none, and not bound");
 }
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -1,7 +1,7 @@
 //! Reads each event by position straight into a call, and writes each answer straight into the reply.
 
 use flintwell_core::interface::{
-    AccessId, Arrival, Ending, Entry, Host, Key, ListKind, Micros, NodeId, Outcome, Standing,
+    Arrival, Ending, Entry, Host, Key, ListKind, Micros, NodeId, Outcome, RequestId, Standing,
 };
 use flintwell_core::policy::Policy;
 use flintwell_settings::{decode, micros};
@@ -80,28 +80,28 @@
 }
 
 impl Host for SimHost {
-    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros) {
+    fn attempt(&mut self, request: &RequestId, node: &NodeId, allow_for: Micros) {
         self.act("submit_to", |r| {
             r.push(b',');
-            push_text(r, access);
+            push_text(r, request);
             r.push(b',');
             push_seconds(r, allow_for);
             r.push(b',');
             push_text(r, node);
         });
     }
-    fn turn_back(&mut self, access: &AccessId, stay_away: Micros) {
+    fn refuse(&mut self, request: &RequestId, stay_away: Micros) {
         self.act("shed", |r| {
             r.push(b',');
-            push_text(r, access);
+            push_text(r, request);
             r.push(b',');
             push_seconds(r, stay_away);
         });
     }
-    fn break_off(&mut self, access: &AccessId) {
+    fn fail(&mut self, request: &RequestId) {
         self.act("fail", |r| {
             r.push(b',');
-            push_text(r, access);
+            push_text(r, request);
         });
     }
     fn close_idle(&mut self, node: &NodeId) {
@@ -125,13 +125,13 @@
 
 fn ending(code: i64) -> Ending {
     match code {
-        200 => Ending::Honoured,
+        200 => Ending::Served,
         502 => Ending::Error,
         429 => Ending::Full,
         408 => Ending::TimedOut,
         521 => Ending::ConnectFailed,
         520 => Ending::Reset,
-        444 => Ending::CalledOff,
+        444 => Ending::Cancelled,
         409 => Ending::NotSent,
         204 => Ending::Miss,
         _ => Ending::Unknown,
@@ -261,10 +261,10 @@
             "incoming" => {
                 let arrival = Arrival {
                     id: fields.id("msg_id")?,
-                    use_case: fields.need("qos")?,
+                    class: fields.need("qos")?,
                     tenant: fields.maybe("org")?.unwrap_or(0),
                     key: fields.maybe::<Text>("item")?.map(|t| Key::from(t.0)),
-                    outer_limit: fields.time("deadline")?,
+                    deadline: fields.time("deadline")?,
                     work: fields.maybe("cost_guess")?.map(micros),
                     write: {
                         fields.maybe::<IgnoredAny>("size")?;
@@ -272,7 +272,7 @@
                     },
                 };
                 if let Some(policy) = policy.as_mut() {
-                    policy.access_arrives(now, arrival);
+                    policy.request_arrives(now, arrival);
                 }
             }
             "answer" => {
@@ -313,7 +313,7 @@
             "vanished" | "begun" => {
                 let id = fields.id("msg_id")?;
                 if let Some(policy) = policy.as_mut() {
-                    policy.access_gone(now, &id);
+                    policy.request_gone(now, &id);
                 }
             }
             _ => {}
--- a/crates/flintwell/src/clients/accept.rs
+++ b/crates/flintwell/src/clients/accept.rs
@@ -1,6 +1,5 @@
 //! Accepts clients' connections, as many as there is room for, and serves each until it ends.
 
-use crate::accesses::front::Front;
 use crate::clients::framing::Scanner;
 use crate::clients::presence::Presence;
 use crate::nodes::carry::Carry;
@@ -8,6 +7,7 @@
 use crate::nodes::stream::Shared;
 use crate::process::clock::PEER_STALL;
 use crate::process::handover::{self, Heir};
+use crate::requests::front::Front;
 use crate::say;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -33,12 +33,12 @@
 use tower::ServiceBuilder;
 
 const BACKLOG: u32 = 1_024; // connections; those waiting while accept pauses at the limit
-const IDLE_MOST: Duration = Duration::from_secs(10); // a connection with no access for this long is closed
+const IDLE_MOST: Duration = Duration::from_secs(10); // a connection with no request for this long is closed
 const HEAD_WITHIN: Duration = Duration::from_millis(2_400); // from a connection's start, or a head's, to its end
 const FRESH: Duration = Duration::from_millis(50); // for which a new connection is kept, whoever waits
 const SILENT: Duration = Duration::from_millis(450); // more, while there is room but many are open
-const USED: Duration = Duration::from_secs(1); // the same after an access, while few are such
-const USED_SHARE: usize = 4; // one in so many open ones idle after an access is many
+const USED: Duration = Duration::from_secs(1); // the same after a request, while few are such
+const USED_SHARE: usize = 4; // one in so many open ones idle after a request is many
 const MANY: f64 = 0.5; // of our room, a quarter of all descriptors; clients hold a third at most
 const CLOSE_EVERY: Duration = Duration::from_millis(10); // idle ones, one by one, while room is wanted
 const HEAD_ENDS: Duration = Duration::from_millis(250); // for a head begun when its place was wanted
@@ -55,7 +55,7 @@
 /// Clients' connections, by how long they have stood idle.
 #[derive(Default)]
 struct Clients {
-    /// From so many on, those idle after an access make room before all is taken.
+    /// From so many on, those idle after a request make room before all is taken.
     many: usize,
     turn: Cell<u64>,
     open: Cell<usize>,
@@ -70,7 +70,7 @@
     Nothing,
     /// A head that has not ended.
     Part,
-    Access,
+    ClientRequest,
 }
 
 /// What has come on an idle connection, when it may be closed, and its turn.
@@ -121,13 +121,13 @@
             chunks: Cell::default(),
             unwritten: RefCell::default(),
         };
-        // Danger: a fresh connection's first access may be on the way, and the next one's too.
+        // Danger: a fresh connection's first request may be on the way, and the next one's too.
         client.idles(Heard::Nothing, FRESH);
         Rc::new(client)
     }
 
     /// Room for one more. Danger: clients that keep idle connections would leave none for those whose
-    /// accesses wait in the backlog, and those would be lost; and hundreds that connect and say nothing would
+    /// requests wait in the backlog, and those would be lost; and hundreds that connect and say nothing would
     /// push out those that are used. So what has said nothing goes first, then what has stood idle longest.
     async fn make_room(&self, room: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
         let mut permit = pin!(room.clone().acquire_owned());
@@ -139,9 +139,9 @@
                 let (now, mut idle) = (Instant::now(), self.idle.borrow_mut());
                 let mut all = idle.keys();
                 let due = all.find(|p| p.1 <= now && (full || p.0 == Heard::Nothing && p.1 + SILENT <= now));
-                // Danger: where each access comes on a connection of its own, to wait for the few new ones
+                // Danger: where each request comes on a connection of its own, to wait for the few new ones
                 // that have said nothing yet would leave the rest in the backlog past their time.
-                let silent = idle.keys().take_while(|place| place.0 != Heard::Access).count();
+                let silent = idle.keys().take_while(|place| place.0 != Heard::ClientRequest).count();
                 let used =
                     idle.keys().nth(silent).filter(|_| (idle.len() - silent) * USED_SHARE >= self.open.get());
                 let longest = due.or(used).copied();
@@ -360,7 +360,7 @@
         if self.client.answered.take() {
             self.client.long.take();
             self.client.answered_at.set(Some(Instant::now()));
-            self.client.idles(Heard::Access, USED);
+            self.client.idles(Heard::ClientRequest, USED);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
@@ -413,7 +413,7 @@
             (permit, listener.accept().await)
         };
         let (permit, accepted) = tokio::select! {
-            // Danger: what comes again after it was turned back, let in once more, is turned back twice.
+            // Danger: what comes again after it was refused, let in once more, is refused twice.
             biased;
             () = shutdown.door_closed() => break,
             next = next => next,
@@ -426,7 +426,7 @@
             }
         }
     }
-    // Danger: a connection that the machine has accepted for us may hold an access already.
+    // Danger: a connection that the machine has accepted for us may hold a request already.
     while !shutdown.succeeded()
         && let Ok(Ok((stream, _))) = timeout(LAST_LOOK, listener.accept()).await
     {
@@ -476,9 +476,9 @@
             client.long_begins().await;
             heir
         });
-        // Whether a client's connection ended well or badly, the access on it was told by its seat.
+        // Whether a client's connection ended well or badly, the request on it was told by its seat.
         tokio::select! {
-            // First, so that an access that has come is read before its connection counts as idle.
+            // First, so that a request that has come is read before its connection counts as idle.
             biased;
             _ = connection.as_mut() => return,
             () = client.reads_ahead() => {}
@@ -487,7 +487,7 @@
             () = client.close.notified() => {}
             heir = handed.as_mut() => return leave(connection, &client, &heir).await,
             () = idle_closed => {
-                // Danger: a head that comes slowly is cut off by a stop, though its access could be answered.
+                // Danger: a head that comes slowly is cut off by a stop, though its request could be answered.
                 if client.heard(Heard::Part) {
                     tokio::select! {
                         _ = connection.as_mut() => return,
@@ -497,7 +497,7 @@
             }
         }
         connection.as_mut().graceful_shutdown();
-        // Danger: a client that began an access and never ends its head would keep its place; of hundreds that
+        // Danger: a client that began a request and never ends its head would keep its place; of hundreds that
         // say nothing each would, while others wait for it.
         let ends = if client.heard(Heard::Nothing) { LAST_LOOK } else { HEAD_ENDS };
         let ended = timeout(ends, connection.as_mut()).await.is_ok();
@@ -555,6 +555,6 @@
         drop(Answering { content, client: answered });
         assert!(client.idle.get().is_none(), "in the connection's hands");
         poll_fn(|cx| Pin::new(&mut listened).poll_flush(cx)).await.expect("written");
-        assert!(client.idle.get().is_some_and(|place| place.0 == Heard::Access));
+        assert!(client.idle.get().is_some_and(|place| place.0 == Heard::ClientRequest));
     }
 }
--- a/crates/flintwell/src/clients/answer.rs
+++ b/crates/flintwell/src/clients/answer.rs
@@ -9,13 +9,13 @@
 use hyper::{Response, StatusCode};
 
 pub enum Answer {
-    Honoured(Content),
-    TurnedBack {
+    Served(Content),
+    Refused {
         stay_away: Micros,
     },
-    BrokenOff,
+    Failed,
     Malformed(Malformed),
-    /// Another access of this id is in hand.
+    /// Another request of this id is in hand.
     InHand,
     Ready(bool),
     /// Its client has left; nobody hears it.
@@ -23,13 +23,13 @@
 }
 
 impl Answer {
-    /// How its access has ended; not yet, if it is still passed on, and none if it never was one.
+    /// How its request has ended; not yet, if it is still passed on, and none if it never was one.
     pub fn end(&self) -> Option<End> {
         match self {
-            Answer::Honoured(Content::Whole(_)) => Some(End::Honoured),
-            Answer::TurnedBack { .. } => Some(End::TurnedBack),
-            Answer::BrokenOff => Some(End::BrokenOff),
-            Answer::Honoured(Content::Long(_)) => None,
+            Answer::Served(Content::Whole(_)) => Some(End::Served),
+            Answer::Refused { .. } => Some(End::Refused),
+            Answer::Failed => Some(End::Failed),
+            Answer::Served(Content::Long(_)) => None,
             Answer::Malformed(_) | Answer::InHand | Answer::Ready(_) | Answer::Left => None,
         }
     }
@@ -37,12 +37,12 @@
     pub fn encode(self, last: bool) -> Response<Content> {
         // Danger: behind what is malformed, what comes next may be no message of its own.
         let last = last || matches!(self, Answer::Malformed(_) | Answer::Left);
-        let stay_away = if let Answer::TurnedBack { stay_away } = self { stay_away } else { 0 };
+        let stay_away = if let Answer::Refused { stay_away } = self { stay_away } else { 0 };
         let text = |words: &'static [u8]| Content::from(Bytes::from_static(words));
         let (status, body) = match self {
-            Answer::Honoured(body) => (StatusCode::OK, body),
-            Answer::TurnedBack { .. } => (StatusCode::SERVICE_UNAVAILABLE, text(b"")),
-            Answer::BrokenOff | Answer::Left => (StatusCode::BAD_GATEWAY, text(b"")),
+            Answer::Served(body) => (StatusCode::OK, body),
+            Answer::Refused { .. } => (StatusCode::SERVICE_UNAVAILABLE, text(b"")),
+            Answer::Failed | Answer::Left => (StatusCode::BAD_GATEWAY, text(b"")),
             Answer::InHand => (StatusCode::CONFLICT, text(b"this id is in hand\n")),
             Answer::Ready(true) => (StatusCode::OK, text(b"ready\n")),
             Answer::Ready(false) => (StatusCode::SERVICE_UNAVAILABLE, text(b"stopping\n")),
--- a/crates/flintwell/src/clients/body.rs
+++ b/crates/flintwell/src/clients/body.rs
@@ -1,4 +1,4 @@
-//! The body of an access: kept whole while the process has room for it, else passed on to one node as it comes.
+//! The body of a request: kept whole while the process has room for it, else passed on to one node as it comes.
 
 use crate::clients::malformed::Malformed;
 use crate::process::clock::Patience;
@@ -123,7 +123,7 @@
 
 pub enum Payload {
     Kept(Rc<Kept>),
-    /// None once its one hand-off has it.
+    /// None once its one attempt has it.
     Passing(Cell<Option<Box<Passing>>>, Rc<End>),
 }
 
@@ -162,7 +162,7 @@
         Ok(Payload::Kept(Rc::new(kept)))
     }
 
-    /// The body for a hand-off; none if an earlier one has taken it.
+    /// The body for an attempt; none if an earlier one has taken it.
     pub fn hand_out(&self) -> Option<Outgoing> {
         match self {
             Payload::Kept(kept) => Some(Outgoing::Kept { kept: kept.clone(), sent: 0 }),
--- a/crates/flintwell/src/clients/decode.rs
+++ b/crates/flintwell/src/clients/decode.rs
@@ -1,10 +1,10 @@
-//! An access, decoded once from a client's message into a small typed value.
+//! A request, decoded once from a client's message into a small typed value.
 
 use crate::clients::body::{Budget, Payload};
 use crate::clients::framing::Framing;
 use crate::clients::malformed::Malformed;
 use crate::clients::presence::Presence;
-use flintwell_core::interface::{AccessId, Arrival, Key, Micros};
+use flintwell_core::interface::{Arrival, Key, Micros, RequestId};
 use flintwell_settings::Network;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
@@ -14,10 +14,10 @@
 
 const ONCE: [&str; 5] = ["host", "x-request-id", "x-class", "x-deadline", "idempotency-key"]; // headers
 const MARGIN: Micros = 10_000; // us; the way back to the client, and the turn of our one core
-const LIMIT_MOST: f64 = 3_600.0; // s; a longer outer limit is no client's
+const LIMIT_MOST: f64 = 3_600.0; // s; a longer deadline is no client's
 
-pub struct Access {
-    pub id: AccessId,
+pub struct ClientRequest {
+    pub id: RequestId,
     pub id_header: HeaderValue,
     pub repeat_mark: Option<HeaderValue>,
     pub host: Option<HeaderValue>,
@@ -25,15 +25,15 @@
     pub path: Uri,
     pub body: Payload,
     pub client: Presence,
-    pub use_case: usize,
+    pub class: usize,
     tenant: usize,
     key: Option<Key>,
     work: Option<Micros>,
-    /// How long the client waits from when it sent the access.
+    /// How long the client waits from when it sent the request.
     waits: Micros,
 }
 
-impl Access {
+impl ClientRequest {
     pub async fn decode(
         request: Request<Incoming>,
         framing: Framing,
@@ -42,7 +42,7 @@
         client: Presence,
     ) -> Result<Self, Malformed> {
         let (head, body) = request.into_parts();
-        // Danger: a length beside a transfer encoding hides another access in the body, and is taken out of
+        // Danger: a length beside a transfer encoding hides another request in the body, and is taken out of
         // the head before we see it.
         if framing == Framing::Doubtful {
             return Err(Malformed::Doubtful);
@@ -81,13 +81,13 @@
         };
         let waits = number("x-deadline")?.ok_or(Malformed::Header("x-deadline"))?.min(LIMIT_MOST);
         let key = path.path().rsplit('/').next().filter(|key| !key.is_empty()).map(Key::from);
-        Ok(Access {
+        Ok(ClientRequest {
             id: need("x-request-id")?.into(),
             id_header: headers.get("x-request-id").cloned().ok_or(Malformed::Header("x-request-id"))?,
-            use_case: named("x-class", &network.use_cases)?.ok_or(Malformed::Header("x-class"))?,
+            class: named("x-class", &network.classes)?.ok_or(Malformed::Header("x-class"))?,
             tenant: named("x-tenant", &network.tenants)?.unwrap_or(0),
             key,
-            // A hint that is no number is worth none, and no reason to turn the access away.
+            // A hint that is no number is worth none, and no reason to turn the request away.
             work: number("x-cost-hint").ok().flatten().map(|hint| hint.min(LIMIT_MOST * 1e6) as Micros),
             waits: (waits * 1e6) as Micros,
             repeat_mark: headers.get("idempotency-key").cloned(),
@@ -100,17 +100,17 @@
     }
 
     /// When its answer is due, if its client may have sent it at `sent`.
-    pub fn outer_limit(&self, sent: Micros) -> Micros {
+    pub fn deadline(&self, sent: Micros) -> Micros {
         sent + self.body.takes().as_micros() as Micros + (self.waits - MARGIN).max(0)
     }
 
-    pub fn arrival(&self, outer_limit: Micros) -> Arrival {
+    pub fn arrival(&self, deadline: Micros) -> Arrival {
         Arrival {
             id: self.id.clone(),
-            use_case: self.use_case,
+            class: self.class,
             tenant: self.tenant,
             key: self.key.clone(),
-            outer_limit,
+            deadline,
             work: self.work,
             write: self.method == Method::PUT,
         }
--- a/crates/flintwell/src/clients/framing.rs
+++ b/crates/flintwell/src/clients/framing.rs
@@ -220,7 +220,7 @@
         (true, []) => (Framing::Coded, 0),
         (false, []) => (Framing::Length, 0),
         (false, [Some(length)]) => (Framing::Length, *length),
-        // Danger: a length beside a transfer encoding, or a second one, hides another access in the body.
+        // Danger: a length beside a transfer encoding, or a second one, hides another request in the body.
         _ => (Framing::Doubtful, 0),
     }
 }
--- a/crates/flintwell/src/clients/malformed.rs
+++ b/crates/flintwell/src/clients/malformed.rs
@@ -1,4 +1,4 @@
-//! Why a message is no access.
+//! Why a message is no request.
 
 #[derive(Debug, PartialEq, Eq)]
 pub enum Malformed {
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -1,11 +1,11 @@
 //! Calls discovery for the list of nodes, decodes what it tells, and passes it on. When each call is due and how long it
 //! may take is decided by `flintwell-list-watch` and, where the list has to be asked for, by the module.
 
-use crate::accesses::desk::Desk;
 use crate::clients::body::Outgoing;
 use crate::fleet::roster::Roster;
 use crate::nodes::link::{Broken, Came, Cause, Link, Most, Progress};
 use crate::process::clock::span;
+use crate::requests::desk::Desk;
 use crate::say;
 use bytes::Bytes;
 use flintwell_core::interface::{ListKind, Micros};
--- a/crates/flintwell/src/fleet/roster.rs
+++ b/crates/flintwell/src/fleet/roster.rs
@@ -1,9 +1,9 @@
 //! The list as it is told to the module and the pool: discovery's word, with the operators' laid over it.
 
-use crate::accesses::desk::Desk;
 use crate::nodes::pool::Pool;
 use crate::process::live::Live;
 use crate::process::store::{Store, plain};
+use crate::requests::desk::Desk;
 use crate::say;
 use flintwell_core::interface::{ListKind, Micros, NodeId, Standing};
 use flintwell_settings::Network;
@@ -138,7 +138,7 @@
     fn overlaid(&self, line: &Line) -> Line {
         let mut line = line.clone();
         match self.hands.borrow().get(&line.id) {
-            // Danger: a node under maintenance that a list has as ready would be sent accesses.
+            // Danger: a node under maintenance that a list has as ready would be sent requests.
             Some(Hand { back_ms: None, .. }) if line.state == "ready" => line.state = "draining".into(),
             // Danger: it was restarted meanwhile and is cold, whether or not the list tells that yet.
             Some(Hand { back_ms: Some(back), out_ms, .. }) if line.started_ms < *out_ms => {
--- a/crates/flintwell/src/fleet/words.rs
+++ b/crates/flintwell/src/fleet/words.rs
@@ -1,9 +1,9 @@
 //! Words between proxies: the socket, the clock and the figures. Who is there and what each may ask of the origin is
 //! decided by `flintwell-membership`, `flintwell-shared-limits` and the module.
 
-use crate::accesses::desk::Desk;
 use crate::process::clock::Clock;
 use crate::process::config::Words as Config;
+use crate::requests::desk::Desk;
 use crate::say;
 use crate::staff::counts::Counts;
 use flintwell_core::interface::Micros;
--- a/crates/flintwell/src/main.rs
+++ b/crates/flintwell/src/main.rs
@@ -1,10 +1,10 @@
 //! flintwell: a sidecar that spreads keys over cache servers before a slow origin.
 
-mod accesses;
 mod clients;
 mod fleet;
 mod nodes;
 mod process;
+mod requests;
 mod staff;
 
 use clap::{Parser, Subcommand};
@@ -21,7 +21,7 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serves accesses until SIGTERM
+    /// Serves requests until SIGTERM
     Serve {
         /// The configuration, a JSON file
         #[arg(long, env = "EDGE_CONFIG")]
--- a/crates/flintwell/src/nodes/handoff.rs
+++ b/crates/flintwell/src/nodes/attempt.rs
@@ -1,7 +1,7 @@
-//! One hand-off: an access sent to one node over one connection, and how it ended.
+//! One attempt: a request sent to one node over one connection, and how it ended.
 
 use crate::clients::body::{Budget, LONGEST, Outgoing};
-use crate::clients::decode::Access;
+use crate::clients::decode::ClientRequest;
 use crate::nodes::link::{Broken, Came, Cause, Link, Most, Progress};
 use crate::nodes::pool::Pool;
 use crate::nodes::relay::{Content, Relay};
@@ -23,8 +23,8 @@
 const MARGIN: Duration = Duration::from_millis(30); // beyond a dial: room for the connection, and the turn of our core
 const TURNS: usize = 3; // of the runtime: the socket's, the connection's and our own
 
-pub struct HandOff {
-    pub access: Rc<Access>,
+pub struct Attempt {
+    pub request: Rc<ClientRequest>,
     pub node: NodeId,
     pub allow_for: Micros,
     pub chosen_at: Instant,
@@ -39,20 +39,20 @@
 }
 
 #[derive(Clone)]
-pub struct HandOffs {
+pub struct Attempts {
     pool: Rc<Pool>,
     counts: Rc<Counts>,
     /// For what is read ahead of long answers.
     room: Rc<Budget>,
 }
 
-impl HandOffs {
+impl Attempts {
     pub fn new(pool: Rc<Pool>, counts: Rc<Counts>, room: Rc<Budget>) -> Self {
-        HandOffs { pool, counts, room }
+        Attempts { pool, counts, room }
     }
 }
 
-impl Service<HandOff> for HandOffs {
+impl Service<Attempt> for Attempts {
     type Response = Answered;
     type Error = Broken;
     type Future = LocalBoxFuture<'static, Result<Answered, Broken>>;
@@ -61,20 +61,20 @@
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, hand_off: HandOff) -> Self::Future {
-        let HandOffs { pool, counts, room } = self.clone();
+    fn call(&mut self, attempt: Attempt) -> Self::Future {
+        let Attempts { pool, counts, room } = self.clone();
         Box::pin(async move {
-            let progress = Progress::counted(&counts.hand_offs);
-            let mut exchange = pin!(send(&pool, &hand_off, &progress, &room));
-            if let Some(end) = hand_off.access.body.passing() {
+            let progress = Progress::counted(&counts.attempts);
+            let mut exchange = pin!(send(&pool, &attempt, &progress, &room));
+            if let Some(end) = attempt.request.body.passing() {
                 // Its time counts from its last byte.
                 tokio::select! {
                     ended = exchange.as_mut() => return ended,
                     () = end.whole.notified() => {}
-                    () = sleep(hand_off.access.body.takes()) => {}
+                    () = sleep(attempt.request.body.takes()) => {}
                 }
             }
-            if let Ok(ended) = timeout(span(hand_off.allow_for), exchange.as_mut()).await {
+            if let Ok(ended) = timeout(span(attempt.allow_for), exchange.as_mut()).await {
                 return ended;
             }
             // Danger: an answer that its node has begun, and may give for long, would be cut off.
@@ -94,25 +94,25 @@
 
 async fn send(
     pool: &Rc<Pool>,
-    hand_off: &HandOff,
+    attempt: &Attempt,
     progress: &Progress,
     room: &Rc<Budget>,
 ) -> Result<Answered, Broken> {
-    let mut link = open(pool, &hand_off.node).await?;
-    last_look(pool, hand_off)?;
+    let mut link = open(pool, &attempt.node).await?;
+    last_look(pool, attempt)?;
     let (idle, first) = (link.idle_since.elapsed(), link.unused());
-    let body = hand_off.access.body.hand_out().ok_or(Broken::unwritten(Cause::Spent))?;
-    let reply = link.exchange(message(hand_off, body), ANSWER, progress).await;
+    let body = attempt.request.body.hand_out().ok_or(Broken::unwritten(Cause::Spent))?;
+    let reply = link.exchange(message(attempt, body), ANSWER, progress).await;
     pool.used_after(idle, reply.as_ref().is_err_and(|broken| broken.ending() == Ending::Reset));
     let reply = reply?;
     let ending = ending(reply.status, &reply.headers);
     let body = match reply.body {
         Came::Whole(body) => {
-            pool.give_back(&hand_off.node, link);
+            pool.give_back(&attempt.node, link);
             body.into()
         }
         Came::Long(begun, rest, left) => {
-            let (node, pool) = (hand_off.node.clone(), pool.clone());
+            let (node, pool) = (attempt.node.clone(), pool.clone());
             Content::Long(Box::new(Relay::new(begun, rest, left, node, pool, link, room)))
         }
     };
@@ -130,30 +130,30 @@
 }
 
 /// Directly before the first byte, whatever came between it and the choice: a dial, a full room, a standstill of ours.
-fn last_look(pool: &Pool, hand_off: &HandOff) -> Result<(), Broken> {
+fn last_look(pool: &Pool, attempt: &Attempt) -> Result<(), Broken> {
     // Danger: the list may have changed since the module chose, and a send counts from its first byte.
-    pool.listed(&hand_off.node)?;
+    pool.listed(&attempt.node)?;
     // Danger: a window for repeats, or the request's time, may be over; the module left a dial's time of either.
-    let since = hand_off.chosen_at.elapsed();
-    if since >= span(hand_off.allow_for) || since > pool.dial_within + MARGIN {
+    let since = attempt.chosen_at.elapsed();
+    if since >= span(attempt.allow_for) || since > pool.dial_within + MARGIN {
         return Err(Broken::unwritten(Cause::Stale));
     }
     // Danger: a client that left meanwhile would have its request carried out for nobody.
-    if hand_off.access.client.left() { Err(Broken::unwritten(Cause::Left)) } else { Ok(()) }
+    if attempt.request.client.left() { Err(Broken::unwritten(Cause::Left)) } else { Ok(()) }
 }
 
-fn message(hand_off: &HandOff, body: Outgoing) -> Request<Outgoing> {
-    let access = &hand_off.access;
+fn message(attempt: &Attempt, body: Outgoing) -> Request<Outgoing> {
+    let request = &attempt.request;
     let mut message = Request::new(body);
-    *message.method_mut() = access.method.clone();
-    *message.uri_mut() = access.path.clone();
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.path.clone();
     let headers = message.headers_mut();
-    headers.insert(HOST, access.host.clone().unwrap_or(HeaderValue::from_static("origin.svc")));
-    headers.insert("x-request-id", access.id_header.clone());
-    if let Some(mark) = &access.repeat_mark {
+    headers.insert(HOST, request.host.clone().unwrap_or(HeaderValue::from_static("origin.svc")));
+    headers.insert("x-request-id", request.id_header.clone());
+    if let Some(mark) = &request.repeat_mark {
         headers.insert("idempotency-key", mark.clone());
     }
-    let wait = format!("{:.6}", hand_off.allow_for as f64 / 1e6);
+    let wait = format!("{:.6}", attempt.allow_for as f64 / 1e6);
     if let Ok(wait) = HeaderValue::from_str(&wait) {
         headers.insert("x-deadline", wait);
     }
@@ -163,7 +163,7 @@
 fn ending(status: StatusCode, headers: &HeaderMap) -> Ending {
     let not_run = headers.get("x-not-run").is_some_and(|value| value == "1");
     match status {
-        StatusCode::OK => Ending::Honoured,
+        StatusCode::OK => Ending::Served,
         StatusCode::NOT_FOUND => Ending::Miss,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Ending::Full,
         status if status.is_server_error() => Ending::Error,
--- a/crates/flintwell/src/nodes/link.rs
+++ b/crates/flintwell/src/nodes/link.rs
@@ -52,7 +52,7 @@
     Unlisted,
     /// We have no descriptor left for a connection.
     NoRoom,
-    /// An earlier hand-off took the body, which is not kept.
+    /// An earlier attempt took the body, which is not kept.
     Spent,
     /// The client has left.
     Left,
@@ -292,7 +292,7 @@
     /// Itself, if another exchange can go out on it.
     pub async fn ready(mut self) -> Option<Self> {
         self.sender.ready().await.ok()?;
-        // Danger: what a node has sent behind its last answer would be read as the answer to the next access;
+        // Danger: what a node has sent behind its last answer would be read as the answer to the next request;
         // and one that has closed its end takes nothing more.
         let waiting = SockRef::from(&*self.stream.upgrade()?).peek(&mut [MaybeUninit::uninit()]);
         waiting.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock).then_some(self)
--- a/crates/flintwell/src/nodes/mod.rs
+++ b/crates/flintwell/src/nodes/mod.rs
@@ -1,7 +1,7 @@
-//! Cache nodes and the origin: hand-offs, connections, and answers on their way back.
+//! Cache nodes and the origin: attempts, connections, and answers on their way back.
 
+pub mod attempt;
 pub mod carry;
-pub mod handoff;
 pub mod link;
 pub mod pool;
 pub mod relay;
--- a/crates/flintwell/src/nodes/pool.rs
+++ b/crates/flintwell/src/nodes/pool.rs
@@ -12,15 +12,15 @@
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
-const IDLE_SHARE: f64 = 0.85; // of the node's limit; else accesses are written to closed ones
+const IDLE_SHARE: f64 = 0.85; // of the node's limit; else requests are written to closed ones
 const IDLE_LEAST: Duration = Duration::from_millis(20); // idle for less, a reset says nothing of idleness
 const IDLE_REACH: u32 = 4; // times its idle time that a connection used tells of
 const IDLE_FALL: f64 = 0.7; // factor on the limit at a reset; with the next, it falls from one in five on
 const IDLE_RISE: f64 = 1.1; // factor at an answer on a connection that stood idle for some of the limit
-const ROOM_WITHIN: Duration = Duration::from_millis(20); // for a closed connection to end, or a hand-off to
+const ROOM_WITHIN: Duration = Duration::from_millis(20); // for a closed connection to end, or an attempt to
 const SWEEP: Duration = Duration::from_millis(250); // between looks at idle connections; fine beside a spare's time
 const SWEEPS: u32 = 10; // looks at least while an idle one is kept, so that they come within the margin
-const SPARE_IDLE: Duration = Duration::from_secs(1); // for one more than one; past a burst's next accesses
+const SPARE_IDLE: Duration = Duration::from_secs(1); // for one more than one; past a burst's next requests
 
 struct Place {
     addr: SocketAddr,
@@ -98,7 +98,7 @@
     }
 
     /// What became of an exchange on a connection that had been idle. Danger: nodes, or what stands between,
-    /// that drop idle connections sooner than agreed break off every access written to one.
+    /// that drop idle connections sooner than agreed break off every request written to one.
     pub fn used_after(&self, idle: Duration, reset: bool) {
         let (reach, limit) = (idle * IDLE_REACH, self.idle_limit.get());
         let limit = match reset {
@@ -120,7 +120,7 @@
         let permit = room.await.map_err(|_| Broken::unwritten(Cause::NoRoom))?.ok();
         let dialled = timeout(self.dial_within, Link::dial(addr, permit));
         let link = dialled.await.unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))?;
-        // Danger: a node that began to drain while its connection came up would get an access past the grace.
+        // Danger: a node that began to drain while its connection came up would get a request past the grace.
         if self.listed(node)? == addr { Ok(link) } else { Err(Broken::unwritten(Cause::Unlisted)) }
     }
 
--- a/crates/flintwell/src/nodes/relay.rs
+++ b/crates/flintwell/src/nodes/relay.rs
@@ -1,11 +1,11 @@
 //! A node's answer on its way to the client: whole, or a long one passed on piece by piece.
 
-use crate::accesses::desk::Seat;
 use crate::clients::body::{Budget, Kept};
 use crate::nodes::carry::Rest;
 use crate::nodes::link::Link;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{PEER_STALL, Patience};
+use crate::requests::desk::Seat;
 use crate::staff::counts::{Counts, End, InHand};
 use bytes::Bytes;
 use flintwell_core::interface::NodeId;
@@ -52,7 +52,7 @@
     }
 }
 
-/// What lasts as long as the access that is answered.
+/// What lasts as long as the request that is answered.
 pub struct Carried {
     counts: Rc<Counts>,
     pub case: usize,
@@ -292,7 +292,7 @@
         Relay { way: Rc::new(way) }
     }
 
-    /// Its access ends with it.
+    /// Its request ends with it.
     pub fn carries(&self, seat: Seat, in_hand: InHand, counts: Rc<Counts>, case: usize) {
         self.way.carried.replace(Some(Carried { counts, case, _seat: seat, _in_hand: in_hand }));
     }
--- a/crates/flintwell/src/process/clock.rs
+++ b/crates/flintwell/src/process/clock.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::time::{Sleep, sleep};
 
-const BEAT: Micros = 10_000; // us; fine beside outer limits, and nothing beside an access's work
+const BEAT: Micros = 10_000; // us; fine beside deadlines, and nothing beside a request's work
 pub const PEER_STALL: Duration = Duration::from_secs(10); // of either side; peers take seconds
 const STALL: Micros = 40_000; // us since the beat before last; twice what it is while all goes well
 
@@ -50,7 +50,7 @@
         }
     }
     /// From when on something may have waited for us that is read now. Danger: what comes while the process
-    /// stands still looks new when it is read, and would be answered past its outer limit.
+    /// stands still looks new when it is read, and would be answered past its deadline.
     pub fn waited_from(&self) -> Micros {
         let (now, before) = (self.clock.now(), self.before.get());
         if now - before > STALL { before } else { now }
--- a/crates/flintwell/src/process/config.rs
+++ b/crates/flintwell/src/process/config.rs
@@ -12,7 +12,7 @@
 const MANAGEMENT: &str = "EDGE_MGMT"; // names the second address
 const MEMORY: f64 = 64.0; // MB; where none is given
 const MEGABYTE: f64 = 1_048_576.0; // bytes
-const BODIES: f64 = 0.25; // of the memory, for bodies of accesses
+const BODIES: f64 = 0.25; // of the memory, for bodies of requests
 const ANSWERS: f64 = 0.375; // of the memory, for answers read ahead; the rest for connections and ourselves
 const KEY_LEAST: usize = 16; // bytes; a shorter one can be guessed
 pub const SOCKETS_LEAST: usize = 64; // descriptors; under this nothing is left for clients and nodes
@@ -191,7 +191,7 @@
 
 impl std::fmt::Display for Config {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        let cases = self.network.use_cases.join(", ");
+        let cases = self.network.classes.join(", ");
         writeln!(f, "{} listens on {}, discovery at {}", self.name, self.listen, self.discovery)?;
         if let Some(management) = self.management {
             writeln!(f, "second address {management}")?;
@@ -202,6 +202,6 @@
             self.settings.index, self.settings.fleet_size, self.sockets
         )?;
         let watched = if self.watch_with.is_some() { "; other settings are watched" } else { "" };
-        write!(f, "use cases: {cases}; nodes known: {}{watched}", self.known.len())
+        write!(f, "classes: {cases}; nodes known: {}{watched}", self.known.len())
     }
 }
--- a/crates/flintwell/src/process/handover.rs
+++ b/crates/flintwell/src/process/handover.rs
@@ -35,7 +35,7 @@
 /// What is said of a long answer; the bytes not written follow.
 #[derive(Serialize, Deserialize)]
 struct Note {
-    /// The place of its use case, where it is not counted yet.
+    /// The place of its class, where it is not counted yet.
     case: Option<usize>,
     /// How the rest comes from its node, if anything still comes.
     rest: Option<Coding>,
--- a/crates/flintwell/src/process/reload.rs
+++ b/crates/flintwell/src/process/reload.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
-/// Reads the file at each signal. Accesses in hand, connections and all that was learned are kept.
+/// Reads the file at each signal. Requests in hand, connections and all that was learned are kept.
 pub async fn on_signal(hangup: &mut Signal, path: &Path, discovery: &watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         match config::read(path) {
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -1,15 +1,12 @@
 //! Puts the parts together and runs them on one core.
 
-use crate::accesses::desk::Desk;
-use crate::accesses::front::Front;
-use crate::accesses::watch::Watch;
 use crate::clients::accept;
 use crate::clients::body::Budget;
 use crate::clients::presence::Presence;
 use crate::fleet::discovery::Discovery;
 use crate::fleet::roster::Roster;
 use crate::fleet::words::Words;
-use crate::nodes::handoff::HandOffs;
+use crate::nodes::attempt::Attempts;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, span};
 use crate::process::config::{Config, SOCKETS_LEAST};
@@ -20,6 +17,9 @@
 use crate::process::shutdown;
 use crate::process::store::Store;
 use crate::process::succession::Succession;
+use crate::requests::desk::Desk;
+use crate::requests::front::Front;
+use crate::requests::watch::Watch;
 use crate::say;
 use crate::staff::counts::Counts;
 use crate::staff::management::{self, Office};
@@ -89,7 +89,7 @@
 async fn run(mut config: Config, path: PathBuf) -> Result<(), String> {
     // First, since until it is taken SIGHUP ends the process.
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    // An access holds a client's connection and one to a node at most: half of the room for each.
+    // A request holds a client's connection and one to a node at most: half of the room for each.
     let connections = (config.sockets - OWN_SOCKETS) / 2;
     let inherited = inherit::listener()?;
     let inherits = inherited.is_some();
@@ -125,7 +125,7 @@
         }
         None => None,
     };
-    let counts = Counts::new(&config.network.use_cases, changes.is_some());
+    let counts = Counts::new(&config.network.classes, changes.is_some());
     let pool = Pool::new(connections, config.network.dial_within, config.network.idle_most);
     let network = Live::new(config.network);
     let list_wanted = Rc::new(Notify::new());
@@ -170,7 +170,7 @@
         let put = move |settings: &serde_json::Value| match (decode(settings), decode_network(settings)) {
             // One turn of our one thread: nothing sees the parts at odds.
             (Ok(settings), Ok(network)) => {
-                put_counts.knows(&network.use_cases);
+                put_counts.knows(&network.classes);
                 put_network.set(network);
                 put_desk.change(settings);
                 put_roster.retell();
@@ -222,10 +222,10 @@
             Err(error) => say!("long answers can't be taken over: {error}"),
         }
     }
-    let hand_offs = HandOffs::new(pool, counts.clone(), Budget::new(config.answers));
+    let attempts = Attempts::new(pool, counts.clone(), Budget::new(config.answers));
     let budget = Budget::new(config.bodies);
     let longest_now = network.clone();
-    let front = Front { desk, hand_offs, counts, network, budget, shutdown, client: Presence::default() };
+    let front = Front { desk, attempts, counts, network, budget, shutdown, client: Presence::default() };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
     say!("{} serves on {at}", config.name);
--- a/crates/flintwell/src/process/shutdown.rs
+++ b/crates/flintwell/src/process/shutdown.rs
@@ -14,9 +14,9 @@
 use tokio::time::{sleep, timeout};
 
 const CALM: Duration = Duration::from_millis(450); // after the signal; clients still come for a while
-const DOOR: Duration = Duration::from_millis(100); // more; the way of an access that comes again
-const LATE: Duration = Duration::from_millis(50); // more; for the first access of the last connections
-const READS: Duration = Duration::from_secs(60); // beyond the longest outer limit, for clients that read slowly
+const DOOR: Duration = Duration::from_millis(100); // more; the way of a request that comes again
+const LATE: Duration = Duration::from_millis(50); // more; for the first request of the last connections
+const READS: Duration = Duration::from_secs(60); // beyond the longest deadline, for clients that read slowly
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -50,7 +50,7 @@
     pub fn succeeded(&self) -> bool {
         self.succeeded.get()
     }
-    /// When a connection accepted now is closed if idle. Danger: an access that crosses the closing, and
+    /// When a connection accepted now is closed if idle. Danger: a request that crosses the closing, and
     /// finds the door closed when it comes again, is lost.
     pub fn idle_closed(&self) -> impl Future<Output = ()> + use<> {
         let late = *self.phases.borrow() >= Phase::IdleClosed;
@@ -86,7 +86,7 @@
 
 impl Stop {
     /// Waits for the signal, then sees the stop through: `accepting` ends once the door is closed, clients'
-    /// connections hold a part of `room`, and none has an access in hand for longer than `longest`. Whether
+    /// connections hold a part of `room`, and none has a request in hand for longer than `longest`. Whether
     /// another process goes on at our socket is asked at the signal, and then whether it takes over.
     pub async fn on_signal(
         self,
@@ -103,7 +103,7 @@
             _ = int.recv() => {}
         }
         if successor() {
-            // Danger: while it is met we go on as ever, or what is turned back would come to us again.
+            // Danger: while it is met we go on as ever, or what is refused would come to us again.
             heir().await.map(|heir| self.heir.set(Rc::new(heir)));
             self.succeeded.set(true);
         }
--- a/crates/flintwell/src/process/succession.rs
+++ b/crates/flintwell/src/process/succession.rs
@@ -13,7 +13,7 @@
 
 const MARK: &str = "process-"; // begins the name of a process's file, then its start, so that names sort by age
 const TAKES: &str = "takes-"; // begins the name of the socket at which a process takes over, then its file's
-const LOOK: Duration = Duration::from_millis(50); // between looks for another process; few accesses meanwhile
+const LOOK: Duration = Duration::from_millis(50); // between looks for another process; few requests meanwhile
 const SHARED_BY: usize = 2; // processes; a version and the next
 
 pub struct Succession {
