--- a/crates/flintwell/src/accesses/desk.rs
+++ b/crates/flintwell/src/requests/desk.rs
@@ -1,12 +1,12 @@
-//! Where accesses meet the decision module: the module in its cell, the seats of the accesses in hand, and
+//! Where requests meet the decision module: the module in its cell, the seats of the requests in hand, and
 //! the host's calls, which only reach a seat and never re-enter the module.
 
-use crate::accesses::watch::{Move, Watch};
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, Pulse};
+use crate::requests::watch::{Move, Watch};
 use crate::say;
 use flintwell_core::interface::{
-    AccessId, Arrival, Ending, Entry, Host, ListKind, Micros, NodeId, Outcome, Settings,
+    Arrival, Ending, Entry, Host, ListKind, Micros, NodeId, Outcome, RequestId, Settings,
 };
 use flintwell_core::policy::Policy;
 use std::cell::RefCell;
@@ -21,11 +21,11 @@
 const SETTLES: usize = 16; // turns of the runtime: its sockets', connections' and the list's own, also of a long list
 const FAR: Micros = 3_600_000_000; // us; a sleep without a timer, ended by the next one set
 
-/// What an access does next.
+/// What a request does next.
 pub enum Step {
-    HandOff { node: NodeId, allow_for: Micros },
-    TurnBack { stay_away: Micros },
-    BreakOff,
+    Attempt { node: NodeId, allow_for: Micros },
+    Refuse { stay_away: Micros },
+    Fail,
 }
 
 #[derive(Default)]
@@ -36,7 +36,7 @@
 
 /// What the module's calls reach.
 struct Board {
-    places: RefCell<HashMap<AccessId, Rc<Place>>>,
+    places: RefCell<HashMap<RequestId, Rc<Place>>>,
     timers: RefCell<BTreeSet<(Micros, u64)>>,
     timer_set: Notify,
     list_wanted: Rc<Notify>,
@@ -45,21 +45,21 @@
 }
 
 impl Board {
-    fn call(&self, access: &AccessId, step: Step) {
+    fn call(&self, request: &RequestId, step: Step) {
         if let Some(watch) = &self.watch {
             let said = match &step {
-                Step::HandOff { node, .. } => Move::HandOff(node.clone()),
-                Step::TurnBack { .. } => Move::TurnBack,
-                Step::BreakOff => Move::BreakOff,
+                Step::Attempt { node, .. } => Move::Attempt(node.clone()),
+                Step::Refuse { .. } => Move::Refuse,
+                Step::Fail => Move::Fail,
             };
-            watch.decided(access, said);
+            watch.decided(request, said);
         }
-        match self.places.borrow().get(access) {
+        match self.places.borrow().get(request) {
             Some(place) => {
                 place.next.replace(Some(step));
                 place.called.notify_one();
             }
-            None => say!("a step for access {access}, which is not in hand"),
+            None => say!("a step for request {request}, which is not in hand"),
         }
     }
 }
@@ -67,14 +67,14 @@
 struct Reach(Rc<Board>);
 
 impl Host for Reach {
-    fn hand_off(&mut self, access: &AccessId, node: &NodeId, allow_for: Micros) {
-        self.0.call(access, Step::HandOff { node: node.clone(), allow_for });
+    fn attempt(&mut self, request: &RequestId, node: &NodeId, allow_for: Micros) {
+        self.0.call(request, Step::Attempt { node: node.clone(), allow_for });
     }
-    fn turn_back(&mut self, access: &AccessId, stay_away: Micros) {
-        self.0.call(access, Step::TurnBack { stay_away });
+    fn refuse(&mut self, request: &RequestId, stay_away: Micros) {
+        self.0.call(request, Step::Refuse { stay_away });
     }
-    fn break_off(&mut self, access: &AccessId) {
-        self.0.call(access, Step::BreakOff);
+    fn fail(&mut self, request: &RequestId) {
+        self.0.call(request, Step::Fail);
     }
     fn close_idle(&mut self, node: &NodeId) {
         self.0.pool.close_idle(node);
@@ -117,7 +117,7 @@
     }
 
     /// Calls the module; nothing is awaited in there. False if it panicked. Danger: a panic in a call made
-    /// for the timer or the list would end those for good, and lose every access held.
+    /// for the timer or the list would end those for good, and lose every request held.
     fn module(&self, call: impl FnOnce(&mut Policy<Reach>), watched: impl FnOnce(&Watch)) -> bool {
         let done = catch_unwind(AssertUnwindSafe(|| call(&mut self.module.borrow_mut())));
         if done.is_err() {
@@ -140,7 +140,7 @@
         self.module(|module| module.change(now, settings), |_| ());
     }
 
-    /// Fetches a second that the fleet grants us from now on; how many accesses were to be fetched so far.
+    /// Fetches a second that the fleet grants us from now on; how many requests were to be fetched so far.
     pub fn granted(&self, rate: Option<f64>) -> u64 {
         let (now, mut wanted) = (self.clock.now(), 0);
         self.module(|module| wanted = module.granted(now, rate), |_| ());
@@ -177,19 +177,19 @@
         self.module.borrow().avoided(self.clock.now())
     }
 
-    /// A seat for an access; none while another of the same id is in hand.
-    pub fn seat(self: &Rc<Self>, id: AccessId) -> Option<Seat> {
+    /// A seat for a request; none while another of the same id is in hand.
+    pub fn seat(self: &Rc<Self>, id: RequestId) -> Option<Seat> {
         let place = Rc::new(Place::default());
         let mut places = self.board.places.borrow_mut();
         if places.contains_key(&id) {
             return None;
         }
         places.insert(id.clone(), place.clone());
-        Some(Seat { desk: self.clone(), id, place, hand_offs: 0, out: None, over: true })
+        Some(Seat { desk: self.clone(), id, place, attempts: 0, out: None, over: true })
     }
 
     /// Calls the module at the times it asked for. Danger: a time that has passed, asked for again at each
-    /// call, would leave our one core nothing for the accesses; so there is a step between calls.
+    /// call, would leave our one core nothing for the requests; so there is a step between calls.
     pub async fn keep_time(&self) {
         let mut not_before = 0;
         loop {
@@ -214,13 +214,13 @@
     }
 }
 
-/// An access's place before the module. Dropped before the access is over, it tells the module that the
-/// client is gone and that the hand-off out, if any, was called off.
+/// A request's place before the module. Dropped before the request is over, it tells the module that the
+/// client is gone and that the attempt out, if any, was cancelled.
 pub struct Seat {
     desk: Rc<Desk>,
-    id: AccessId,
+    id: RequestId,
     place: Rc<Place>,
-    hand_offs: usize,
+    attempts: usize,
     out: Option<NodeId>,
     over: bool,
 }
@@ -234,18 +234,18 @@
             arrival.clone()
         });
         let watched = |watch: &Watch| copy.into_iter().for_each(|arrival| watch.arrives(now, arrival));
-        self.or_break_off(self.desk.module(|module| module.access_arrives(now, arrival), watched));
+        self.or_fail(self.desk.module(|module| module.request_arrives(now, arrival), watched));
     }
 
-    /// An access that the module could not decide on is broken off.
-    fn or_break_off(&self, decided: bool) {
+    /// A request that the module could not decide on is failed.
+    fn or_fail(&self, decided: bool) {
         if !decided {
-            self.desk.board.call(&self.id, Step::BreakOff);
+            self.desk.board.call(&self.id, Step::Fail);
         }
     }
 
-    /// The module's next word; none by the outer limit.
-    pub async fn next(&mut self, outer_limit: Micros) -> Option<Step> {
+    /// The module's next word; none by the deadline.
+    pub async fn next(&mut self, deadline: Micros) -> Option<Step> {
         let word = async {
             loop {
                 if let Some(step) = self.place.next.take() {
@@ -254,8 +254,8 @@
                 self.place.called.notified().await;
             }
         };
-        let step = timeout_at(self.desk.clock.instant(outer_limit), word).await.ok()?;
-        self.over = !matches!(step, Step::HandOff { .. });
+        let step = timeout_at(self.desk.clock.instant(deadline), word).await.ok()?;
+        self.over = !matches!(step, Step::Attempt { .. });
         Some(step)
     }
 
@@ -263,29 +263,29 @@
         self.out = Some(node.clone());
     }
 
-    /// How the hand-off that is out has ended, after `wait`.
+    /// How the attempt that is out has ended, after `wait`.
     pub fn ended(&mut self, ending: Ending, wait: Micros, first: bool) {
         let Some(node) = self.out.take() else { return };
-        self.over |= ending == Ending::Honoured;
-        let outcome = Outcome { number: self.hand_offs, ending, wait, settled: self.over, first };
-        self.hand_offs += 1;
+        self.over |= ending == Ending::Served;
+        let outcome = Outcome { number: self.attempts, ending, wait, settled: self.over, first };
+        self.attempts += 1;
         let (now, id) = (self.desk.clock.now(), &self.id);
         let watched = |watch: &Watch| watch.outcome(now, id, &node, outcome);
-        self.or_break_off(self.desk.module(|module| module.outcome(now, id, &node, outcome), watched));
+        self.or_fail(self.desk.module(|module| module.outcome(now, id, &node, outcome), watched));
     }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
         let (now, id) = (self.desk.clock.now(), self.id.clone());
-        // Danger: a hand-off that the module has told and nobody has taken yet would count as out for good.
-        if let Some(Step::HandOff { node, .. }) = self.place.next.take() {
+        // Danger: an attempt that the module has told and nobody has taken yet would count as out for good.
+        if let Some(Step::Attempt { node, .. }) = self.place.next.take() {
             self.out.get_or_insert(node);
         }
         if !std::mem::replace(&mut self.over, true) {
-            self.desk.module(|module| module.access_gone(now, &id), |watch| watch.gone(now, &id));
+            self.desk.module(|module| module.request_gone(now, &id), |watch| watch.gone(now, &id));
         }
-        self.ended(Ending::CalledOff, 0, false);
+        self.ended(Ending::Cancelled, 0, false);
         self.desk.board.watch.as_deref().inspect(|watch| watch.over(now, &id));
         self.desk.board.places.borrow_mut().remove(&self.id);
     }
--- a/crates/flintwell/src/accesses/desk/tests.rs
+++ b/crates/flintwell/src/requests/desk/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::accesses::watch::Counts;
+use crate::requests::watch::Counts;
 use flintwell_core::interface::Standing;
 
 fn desk() -> Rc<Desk> {
@@ -35,27 +35,27 @@
     let mut first = None;
     let mut seat = desk.seat(id.into()).expect("a seat");
     let (id, key) = (id.into(), Some(key.into()));
-    let outer_limit = desk.clock.now() + 1_000_000;
-    seat.arrives(Arrival { id, use_case: 0, tenant: 0, key, outer_limit, work: None, write: false });
-    if let Some(Step::HandOff { node, .. }) = seat.place.next.take() {
+    let deadline = desk.clock.now() + 1_000_000;
+    seat.arrives(Arrival { id, class: 0, tenant: 0, key, deadline, work: None, write: false });
+    if let Some(Step::Attempt { node, .. }) = seat.place.next.take() {
         seat.sends(&node);
         first = Some(node);
         seat.ended(Ending::Miss, 1_000, false);
     }
     let step = seat.place.next.take();
-    if let Some(Step::HandOff { node, .. }) = &step {
+    if let Some(Step::Attempt { node, .. }) = &step {
         seat.sends(node);
     }
     (seat, step, first)
 }
 
 #[test]
-fn a_panic_in_a_call_ends_neither_the_timer_nor_the_accesses() {
+fn a_panic_in_a_call_ends_neither_the_timer_nor_the_requests() {
     let desk = desk();
     let seat = desk.seat("a".into()).expect("a seat");
     assert!(!desk.module(|_| panic!("as a test"), |_| ()));
-    seat.or_break_off(false);
-    assert!(matches!(seat.place.next.take(), Some(Step::BreakOff)));
+    seat.or_fail(false);
+    assert!(matches!(seat.place.next.take(), Some(Step::Fail)));
     assert!(desk.module(|module| module.timer(0, 0), |_| ()));
     assert!(desk.seat("a".into()).is_none(), "the id is in hand");
 }
@@ -69,9 +69,9 @@
     let mut sent = Vec::new();
     for n in 0..60 {
         let (mut seat, step, first) = read(&desk, &format!("a{n}"), &format!("k{n}"));
-        assert!(matches!(step, Some(Step::HandOff { .. })), "fetched, whatever is watched");
+        assert!(matches!(step, Some(Step::Attempt { .. })), "fetched, whatever is watched");
         sent.push(first.expect("a cache"));
-        seat.ended(Ending::Honoured, 1_000, false);
+        seat.ended(Ending::Served, 1_000, false);
     }
     (sent, desk.board.watch.as_ref().map(|watch| watch.counts()))
 }
@@ -79,30 +79,30 @@
 #[test]
 fn watched_with_the_same_settings_nothing_is_counted() {
     let (_, counts) = reads(Some(serde_json::json!({})));
-    assert_eq!(counts, Some(Counts { accesses: 60, ..Counts::default() }));
+    assert_eq!(counts, Some(Counts { requests: 60, ..Counts::default() }));
 }
 
 #[test]
 fn watched_with_other_settings_the_kind_is_counted_and_nothing_is_decided_otherwise() {
     let zones = serde_json::json!({"zones": ["a", "b"], "penalties": {"cross_zone": 0.1}});
     let ((alone, none), (watched, counts)) = (reads(None), reads(Some(zones)));
-    assert!(none.is_none() && alone == watched, "the same hand-offs with it on and off");
+    assert!(none.is_none() && alone == watched, "the same attempts with it on and off");
     let counts = counts.expect("counts");
     let far = watched.iter().filter(|node| node.starts_with("far")).count() as u64;
     assert!(far > 10 && counts.another_cache == far, "{far}: {counts:?}");
-    assert_eq!((counts.otherwise(), counts.accesses), (far, 60));
+    assert_eq!((counts.otherwise(), counts.requests), (far, 60));
     let (_, counts) = reads(Some(serde_json::json!({"limits": {"max_hand_offs": 1}})));
     let counts = counts.expect("counts");
     assert_eq!((counts.origin_or_cache, counts.otherwise()), (60, 60), "{counts:?}");
 }
 
 #[test]
-fn a_panic_of_the_module_that_is_watched_touches_no_access() {
+fn a_panic_of_the_module_that_is_watched_touches_no_request() {
     let desk = desk_with(Some(serde_json::json!({})));
     let watch = desk.board.watch.clone().expect("it");
     watch.fails();
     desk.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
-    assert!(matches!(missed(&desk, "a", "k").1, Some(Step::HandOff { .. })));
+    assert!(matches!(missed(&desk, "a", "k").1, Some(Step::Attempt { .. })));
     assert_eq!(watch.counts(), Counts::default());
 }
 
@@ -111,13 +111,13 @@
     let desk = desk();
     desk.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
     let (mut leader, step) = missed(&desk, "leader", "k");
-    assert!(matches!(step, Some(Step::HandOff { .. })));
+    assert!(matches!(step, Some(Step::Attempt { .. })));
     for n in 0..8 {
         assert!(missed(&desk, &format!("held {n}"), "k").1.is_none(), "held, then dropped");
     }
     leader.ended(Ending::Error, 1_000, false);
     let others = ["a", "b", "c"].map(|key| missed(&desk, key, key));
-    assert!(others.iter().all(|(_, step)| matches!(step, Some(Step::HandOff { .. }))));
+    assert!(others.iter().all(|(_, step)| matches!(step, Some(Step::Attempt { .. }))));
 }
 
 #[test]
@@ -127,7 +127,7 @@
     // Far more than may be out at the origin at once; each is told to go there and dropped before it takes its step.
     for n in 0..64 {
         let (mut leader, step) = missed(&desk, &format!("leader {n}"), &format!("k{n}"));
-        assert!(matches!(step, Some(Step::HandOff { .. })), "{n}: fetched");
+        assert!(matches!(step, Some(Step::Attempt { .. })), "{n}: fetched");
         let (held, none) = missed(&desk, &format!("held {n}"), &format!("k{n}"));
         assert!(none.is_none(), "held");
         leader.ended(Ending::Spoilt, 1_000, false);
--- a/crates/flintwell/src/accesses/front.rs
+++ b/crates/flintwell/src/requests/front.rs
@@ -1,16 +1,16 @@
 //! The client-facing service: health, else decode, serve, encode.
 
-use crate::accesses::access;
-use crate::accesses::desk::Desk;
 use crate::clients::answer::Answer;
 use crate::clients::body::Budget;
-use crate::clients::decode::Access;
+use crate::clients::decode::ClientRequest;
 use crate::clients::framing::Framing;
 use crate::clients::presence::Presence;
-use crate::nodes::handoff::HandOffs;
+use crate::nodes::attempt::Attempts;
 use crate::nodes::relay::Content;
 use crate::process::live::Live;
 use crate::process::shutdown::Shutdown;
+use crate::requests::desk::Desk;
+use crate::requests::request;
 use crate::staff::counts::Counts;
 use flintwell_settings::Network;
 use futures_util::FutureExt;
@@ -26,7 +26,7 @@
 #[derive(Clone)]
 pub struct Front {
     pub desk: Rc<Desk>,
-    pub hand_offs: HandOffs,
+    pub attempts: Attempts,
     pub counts: Rc<Counts>,
     pub network: Rc<Live<Network>>,
     pub budget: Rc<Budget>,
@@ -41,14 +41,14 @@
             return Answer::Ready(!self.shutdown.begun());
         }
         let client = self.client.clone();
-        match Access::decode(request, framing, &self.network.get(), &self.budget, client).await {
+        match ClientRequest::decode(request, framing, &self.network.get(), &self.budget, client).await {
             // It came slowly, or crossed the closing; a successor has longer to answer it than we have.
-            Ok(access) if self.shutdown.succeeded() => {
-                let answer = Answer::TurnedBack { stay_away: 0 };
-                answer.end().inspect(|&end| self.counts.ended(access.use_case, end));
+            Ok(request) if self.shutdown.succeeded() => {
+                let answer = Answer::Refused { stay_away: 0 };
+                answer.end().inspect(|&end| self.counts.ended(request.class, end));
                 answer
             }
-            Ok(access) => access::serve(access, &self.desk, &self.hand_offs, &self.counts).await,
+            Ok(request) => request::serve(request, &self.desk, &self.attempts, &self.counts).await,
             Err(malformed) => Answer::Malformed(malformed),
         }
     }
@@ -67,9 +67,9 @@
         let front = self.clone();
         Box::pin(async move {
             let framing = request.extensions().get().copied().unwrap_or(Framing::Doubtful);
-            // A panic stops here: the access it struck is broken off, the others go on.
+            // A panic stops here: the request it struck is failed, the others go on.
             let answered = AssertUnwindSafe(front.answer(request, framing)).catch_unwind().await;
-            let answer = answered.unwrap_or(Answer::BrokenOff);
+            let answer = answered.unwrap_or(Answer::Failed);
             // Danger: what comes behind a chunked body is not told apart by its raw bytes.
             Ok(answer.encode(front.shutdown.begun() || framing == Framing::Coded))
         })
--- a/crates/flintwell/src/accesses/access.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -1,58 +1,63 @@
-//! The life of one access, from top to bottom; the module chooses at each point of choice.
+//! The life of one request, from top to bottom; the module chooses at each point of choice.
 
-use crate::accesses::desk::{Desk, Seat, Step};
 use crate::clients::answer::Answer;
-use crate::clients::decode::Access;
-use crate::nodes::handoff::{HandOff, HandOffs};
+use crate::clients::decode::ClientRequest;
+use crate::nodes::attempt::{Attempt, Attempts};
 use crate::nodes::link::Cause;
 use crate::nodes::relay::Content;
 use crate::process::count::one_more;
+use crate::requests::desk::{Desk, Seat, Step};
 use crate::staff::counts::Counts;
 use flintwell_core::interface::{Ending, Micros};
 use std::rc::Rc;
 use std::time::Instant;
 use tower::ServiceExt;
 
-pub async fn serve(access: Access, desk: &Rc<Desk>, hand_offs: &HandOffs, counts: &Rc<Counts>) -> Answer {
-    let (in_hand, case) = (counts.takes(), access.use_case);
-    let Some(mut seat) = desk.seat(access.id.clone()) else { return Answer::InHand };
+pub async fn serve(
+    request: ClientRequest,
+    desk: &Rc<Desk>,
+    attempts: &Attempts,
+    counts: &Rc<Counts>,
+) -> Answer {
+    let (in_hand, case) = (counts.takes(), request.class);
+    let Some(mut seat) = desk.seat(request.id.clone()) else { return Answer::InHand };
     // Danger: what waits while the process stands still is read late; counted from then on, it would look quick.
     let began = desk.pulse.waited_from();
-    let mut answer = decide(access, began, &mut seat, desk, hand_offs, counts).await;
+    let mut answer = decide(request, began, &mut seat, desk, attempts, counts).await;
     counts.took(desk.clock.now() - began);
     answer.end().inspect(|&end| counts.ended(case, end));
-    if let Answer::Honoured(Content::Long(relay)) = &mut answer {
+    if let Answer::Served(Content::Long(relay)) = &mut answer {
         relay.carries(seat, in_hand, counts.clone(), case);
     }
     answer
 }
 
 async fn decide(
-    access: Access,
+    request: ClientRequest,
     began: Micros,
     seat: &mut Seat,
     desk: &Rc<Desk>,
-    hand_offs: &HandOffs,
+    attempts: &Attempts,
     counts: &Counts,
 ) -> Answer {
-    let access = Rc::new(access);
-    let outer_limit = access.outer_limit(began);
-    seat.arrives(access.arrival(outer_limit));
+    let request = Rc::new(request);
+    let deadline = request.deadline(began);
+    seat.arrives(request.arrival(deadline));
     loop {
-        match seat.next(outer_limit).await {
-            Some(Step::HandOff { node, allow_for }) => {
+        match seat.next(deadline).await {
+            Some(Step::Attempt { node, allow_for }) => {
                 seat.sends(&node);
                 desk.settles().await;
                 // Danger: a request that was read together with its client's end, or whose client left while it was held,
                 // would be sent on for nobody; the reader tells of that end only later.
-                if access.client.left() {
+                if request.client.left() {
                     return Answer::Left;
                 }
                 let sent_at = desk.clock.now();
                 let fetch = desk.is_origin(&node);
                 let chosen_at = Instant::now();
-                let hand_off = HandOff { access: access.clone(), node, allow_for, chosen_at };
-                let ended = hand_offs.clone().oneshot(hand_off).await;
+                let attempt = Attempt { request: request.clone(), node, allow_for, chosen_at };
+                let ended = attempts.clone().oneshot(attempt).await;
                 let wait = desk.clock.now() - sent_at;
                 // What the origin refused has cost it something, too.
                 let reached = ended.as_ref().err().is_none_or(|broken| !broken.ending().never_ran());
@@ -65,13 +70,13 @@
                             one_more(&counts.refused);
                         }
                         seat.ended(answered.ending, wait, answered.first);
-                        if answered.ending == Ending::Honoured {
-                            return Answer::Honoured(answered.body);
+                        if answered.ending == Ending::Served {
+                            return Answer::Served(answered.body);
                         }
                     }
                     Err(broken) => {
-                        // A body that is not kept had this one hand-off.
-                        if let Some(why) = access.body.passing().and_then(|end| end.broken.take()) {
+                        // A body that is not kept had this one attempt.
+                        if let Some(why) = request.body.passing().and_then(|end| end.broken.take()) {
                             return Answer::Malformed(why);
                         }
                         if broken.cause == Cause::Left {
@@ -81,10 +86,10 @@
                     }
                 }
             }
-            Some(Step::TurnBack { stay_away }) => return Answer::TurnedBack { stay_away },
-            // Danger: an access nobody answers by its outer limit is lost; whatever the module does, it is
-            // broken off then, which promises nothing.
-            Some(Step::BreakOff) | None => return Answer::BrokenOff,
+            Some(Step::Refuse { stay_away }) => return Answer::Refused { stay_away },
+            // Danger: a request nobody answers by its deadline is lost; whatever the module does, it is
+            // failed then, which promises nothing.
+            Some(Step::Fail) | None => return Answer::Failed,
         }
     }
 }
--- a/crates/flintwell/src/staff/counts.rs
+++ b/crates/flintwell/src/staff/counts.rs
@@ -9,44 +9,44 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// How an access ended.
+/// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    Honoured,
-    TurnedBack,
-    BrokenOff,
+    Served,
+    Refused,
+    Failed,
 }
 
 impl End {
     /// Of a long answer, passed on whole or broken half-way.
     pub fn passed_on(whole: bool) -> Self {
-        if whole { End::Honoured } else { End::BrokenOff }
+        if whole { End::Served } else { End::Failed }
     }
 }
 
-/// Accesses of one use case, by how they ended.
+/// Requests of one class, by how they ended.
 #[derive(Default)]
 struct Ended {
-    honoured: Cell<u64>,
-    turned_back: Cell<u64>,
-    broken_off: Cell<u64>,
+    served: Cell<u64>,
+    refused: Cell<u64>,
+    failed: Cell<u64>,
 }
 
-/// What this process counted since its start; every use case is there from then on, at 0.
+/// What this process counted since its start; every class is there from then on, at 0.
 pub struct Counts {
     cases: RefCell<Vec<(String, Rc<Ended>)>>,
     /// How long answers took, where that is asked for.
     times: Option<RefCell<Histogram<u64>>>,
     in_hand: Count,
-    /// Hand-offs to caches, written whole.
-    pub hand_offs: Count,
-    /// Hand-offs to the origin.
+    /// Attempts to caches, written whole.
+    pub attempts: Count,
+    /// Attempts to the origin.
     pub fetches: Count,
     /// Of those, turned away as full.
     pub refused: Count,
 }
 
-/// An access in hand, for as long as this lives.
+/// A request in hand, for as long as this lives.
 pub struct InHand(Count);
 
 impl Drop for InHand {
@@ -73,7 +73,7 @@
             cases: RefCell::default(),
             times: timed.then(|| RefCell::new(new_times())),
             in_hand: Count::default(),
-            hand_offs: Count::default(),
+            attempts: Count::default(),
             fetches: Count::default(),
             refused: Count::default(),
         };
@@ -88,7 +88,7 @@
         known.extend(more);
     }
 
-    /// An answer's time, from the access's last byte.
+    /// An answer's time, from the request's last byte.
     pub fn took(&self, time: Micros) {
         if let Some(times) = &self.times {
             times.borrow_mut().saturating_record(time.max(1) as u64);
@@ -104,9 +104,9 @@
         let cases = self.cases.borrow();
         let Some((_, ended)) = cases.get(case) else { return };
         one_more(match end {
-            End::Honoured => &ended.honoured,
-            End::TurnedBack => &ended.turned_back,
-            End::BrokenOff => &ended.broken_off,
+            End::Served => &ended.served,
+            End::Refused => &ended.refused,
+            End::Failed => &ended.failed,
         });
     }
 
@@ -116,10 +116,10 @@
             cases.iter().map(|(case, ended)| (case.clone(), count(ended).get())).collect()
         };
         Figures {
-            passed: by(|ended| &ended.honoured),
-            dropped: by(|ended| &ended.turned_back),
-            bad_gateway: by(|ended| &ended.broken_off),
-            upstream_tries: self.hand_offs.get(),
+            passed: by(|ended| &ended.served),
+            dropped: by(|ended| &ended.refused),
+            bad_gateway: by(|ended| &ended.failed),
+            upstream_tries: self.attempts.get(),
             in_progress: self.in_hand.get(),
             known_cache_nodes: known,
             skipped_cache_nodes: skipped,
@@ -129,16 +129,16 @@
     /// The same for whoever compares proxies.
     pub fn compared(&self, epoch: u64, started_ms: u64) -> wire::Figures {
         let ends = |ended: &Ended| wire::Ends {
-            honoured: ended.honoured.get(),
-            turned_back: ended.turned_back.get(),
-            broken_off: ended.broken_off.get(),
+            honoured: ended.served.get(),
+            turned_back: ended.refused.get(),
+            broken_off: ended.failed.get(),
         };
         let cases = self.cases.borrow();
         wire::Figures {
             epoch,
             started_ms,
             cases: cases.iter().map(|(case, ended)| (case.clone(), ends(ended))).collect(),
-            hand_offs: self.hand_offs.get(),
+            hand_offs: self.attempts.get(),
             fetches: self.fetches.get(),
             refused: self.refused.get(),
             memory_kb: memory_kb().unwrap_or(0),
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -1,9 +1,9 @@
 //! The second address: what the operators' staff asks and says, one call to a connection.
 
-use crate::accesses::desk::Desk;
 use crate::fleet::roster::{Refused, Roster};
 use crate::fleet::words::Words;
 use crate::process::shutdown::Shutdown;
+use crate::requests::desk::Desk;
 use crate::say;
 use crate::staff::counts::Counts;
 use crate::staff::rollout::Rollout;
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -294,7 +294,7 @@
     (proxy, at)
 }
 
-/// Asks again and again, each access once more on a new connection if it crossed a closing or was turned back;
+/// Asks again and again, each request once more on a new connection if it crossed a closing or was refused;
 /// what came.
 fn asks_on(addr: SocketAddr, name: usize, done: &AtomicBool) -> BTreeMap<u16, usize> {
     let mut came = BTreeMap::new();
@@ -321,7 +321,7 @@
 }
 
 #[test]
-fn two_versions_at_one_socket_answer_every_access_of_an_upgrade() {
+fn two_versions_at_one_socket_answer_every_request_of_an_upgrade() {
     let cache = Server::start(|_, _| Does::Waits(Duration::from_millis(5), "value"));
     let config = config(cache.addr, misses().addr);
     let (folder, socket) = (Folder::new(), TcpListener::bind("127.0.0.1:0").expect("a socket"));
--- a/crates/flintwell/tests/process/plans.rs
+++ b/crates/flintwell/tests/process/plans.rs
@@ -18,18 +18,18 @@
 #[test]
 fn kills_pauses_one_way_cuts_and_a_drain_break_no_rule() {
     let outcome = played("kills-and-cuts.toml");
-    let (all, honoured) =
+    let (all, served) =
         outcome.seconds.iter().fold((0, 0), |sum, one| (sum.0 + one.accesses, sum.1 + one.honoured));
-    assert!(all > 1_000 && honoured * 10 > all * 8, "{honoured} of {all}");
+    assert!(all > 1_000 && served * 10 > all * 8, "{served} of {all}");
 }
 
 #[test]
 fn a_zone_that_is_silent_and_comes_back_cold_breaks_no_rule() {
     let outcome = played("zone-silent.toml");
     let after: Vec<_> = outcome.seconds[14..19].iter().collect();
-    let honoured: usize = after.iter().map(|one| one.honoured).sum();
+    let served: usize = after.iter().map(|one| one.honoured).sum();
     let all: usize = after.iter().map(|one| one.accesses).sum();
-    assert!(honoured * 100 > all * 95, "{honoured} of {all} once it is back");
+    assert!(served * 100 > all * 95, "{served} of {all} once it is back");
 }
 
 #[test]
--- a/crates/flintwell/tests/process/rollout.rs
+++ b/crates/flintwell/tests/process/rollout.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Every access so far had its answer, and no rule is broken.
+    /// Every request so far had its answer, and no rule is broken.
     pub fn nothing_lost(&mut self) {
         let book = self.fleet().book.clone();
         soon("there is traffic", || book.all().len() > 100);
--- a/crates/flintwell/tests/process/sockets.rs
+++ b/crates/flintwell/tests/process/sockets.rs
@@ -1,4 +1,4 @@
-//! Accesses, connections, discovery and planned stops.
+//! Requests, connections, discovery and planned stops.
 
 use crate::support::*;
 use rand::{Rng, SeedableRng};
@@ -29,7 +29,7 @@
 }
 
 #[test]
-fn what_may_have_run_once_is_neither_sent_again_nor_turned_back() {
+fn what_may_have_run_once_is_neither_sent_again_nor_refused() {
     for does in [
         || Does::Closes,
         || Does::Says("nonsense\r\n\r\n"),
@@ -45,7 +45,7 @@
 }
 
 #[test]
-fn what_never_ran_is_turned_back() {
+fn what_never_ran_is_refused() {
     let full = Server::start(|_, _| Does::Answers(503, ""));
     for origin in [closed(), full.addr] {
         let proxy = Proxy::start(&config(misses().addr, origin));
@@ -55,7 +55,7 @@
 }
 
 #[test]
-fn a_connection_closed_while_idle_costs_no_access() {
+fn a_connection_closed_while_idle_costs_no_request() {
     let origin = Server::start(|_, _| Does::AnswersAndCloses("value"));
     let proxy = Proxy::start(&config(misses().addr, origin.addr));
     let mut client = proxy.client();
@@ -86,12 +86,12 @@
     let proxy = Proxy::start(&config(misses().addr, origin.addr));
     let start = Instant::now();
     assert_eq!(proxy.client().ask("once", "k").status(), 502);
-    assert!(start.elapsed() < Duration::from_millis(900), "before the outer limit");
+    assert!(start.elapsed() < Duration::from_millis(900), "before the deadline");
     soon("closed", || origin.ended() == 1);
 }
 
 #[test]
-fn clients_that_leave_take_their_hand_offs_along_and_leave_room_at_the_origin() {
+fn clients_that_leave_take_their_attempts_along_and_leave_room_at_the_origin() {
     let origin = Server::start(|message, _| match message.first.contains("stays") {
         true => Does::Answers(200, "value"),
         false => Does::Hangs,
@@ -122,7 +122,7 @@
 }
 
 #[test]
-fn a_malformed_access_gets_a_4xx_and_reaches_no_node() {
+fn a_malformed_request_gets_a_4xx_and_reaches_no_node() {
     let (cache, origin) = (misses(), Server::start(|_, _| Does::Answers(200, "value")));
     let proxy = Proxy::start(&config(cache.addr, origin.addr));
     let good = "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: 1.0\r\n";
@@ -134,7 +134,7 @@
         ("GET", "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: NaN\r\n\r\n", 400),
         ("GET", "X-Request-Id: i\r\nX-Class: read\r\nX-Deadline: -1\r\n\r\n", 400),
         ("GET", &format!("{good}X-Request-Id: j\r\n\r\n"), 400),
-        // What hides another access in its body, either way round, and a length that is none.
+        // What hides another request in its body, either way round, and a length that is none.
         ("PUT", &format!("{good}Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /"), 400),
         ("PUT", &format!("{good}Transfer-Encoding: chunked\r\nContent-Length: 9\r\n\r\n0\r\n\r\nGET /"), 400),
         ("PUT", &format!("{good}Content-Length: -1\r\n\r\n"), 400),
@@ -171,7 +171,7 @@
 }
 
 #[test]
-fn clients_that_stay_after_an_access_are_closed_before_all_room_is_taken() {
+fn clients_that_stay_after_an_request_are_closed_before_all_room_is_taken() {
     let mut config = config(misses().addr, Server::start(|_, _| Does::Answers(200, "value")).addr);
     config["limits"]["sockets"] = json!(160);
     let proxy = Proxy::start(&config);
@@ -339,7 +339,7 @@
     };
     let busy: Vec<Client> = (0..24).map(begin).collect();
     for (n, mut client) in busy.into_iter().enumerate() {
-        // As clients do where a connection's end crosses an access.
+        // As clients do where a connection's end crosses a request.
         let answer = client.read().or_else(|| begin(n).read()).expect("an answer");
         assert!([200, 503].contains(&answer.status()));
     }
@@ -415,7 +415,7 @@
 }
 
 #[test]
-fn a_stalled_proxy_still_answers_by_the_outer_limit_of_what_came_meanwhile() {
+fn a_stalled_proxy_still_answers_by_the_deadline_of_what_came_meanwhile() {
     let origin = Server::start(|_, _| Does::Hangs);
     let proxy = Proxy::start(&config(misses().addr, origin.addr));
     let mut client = proxy.client();
@@ -445,7 +445,7 @@
 }
 
 #[test]
-fn what_follows_an_answer_is_never_the_next_accesss() {
+fn what_follows_an_answer_is_never_the_next_requests() {
     let copy = "HTTP/1.1 200 -\r\nContent-Length: 5\r\n\r\nwrong";
     let origin = Server::start(move |_, number| match number {
         0 => Does::Says("HTTP/1.1 102 -\r\n\r\nHTTP/1.1 200 -\r\nContent-Length: 5\r\n\r\nvaluenoise\r\n"),
@@ -456,7 +456,7 @@
     let mut client = proxy.client();
     assert_eq!(client.ask("once", "k1").body, "value");
     assert_eq!(client.ask("once", "k2").body, "value");
-    // Both the access and the copy wait for us; the access came first.
+    // Both the request and the copy wait for us; the request came first.
     proxy.signal("-STOP");
     thread::sleep(Duration::from_millis(50));
     client.begin("once", "k3");
@@ -506,7 +506,7 @@
 }
 
 #[test]
-fn a_new_configuration_moves_the_watch_and_keeps_the_accesses() {
+fn a_new_configuration_moves_the_watch_and_keeps_the_requests() {
     let (cache, origin) = (misses(), Server::start(|_, _| Does::Waits(Duration::from_millis(300), "value")));
     let drains = entry("o", origin.addr, "origin", "draining");
     let list: &'static str = format!(r#"{{"version":1,"full":true,"servers":[{drains}]}}"#).leak();
@@ -556,11 +556,11 @@
     });
     let proxy = Proxy::start(&config(misses().addr, origin.addr));
     let mut chance = ChaCha8Rng::seed_from_u64(7);
-    let access = "PUT /api/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: i\r\nX-Class: write\r\nX-Deadline: 0.3\r\n\
+    let request = "PUT /api/k HTTP/1.1\r\nHost: h\r\nX-Request-Id: i\r\nX-Class: write\r\nX-Deadline: 0.3\r\n\
                   X-Cost-Hint: 70000\r\nContent-Length: 1\r\n\r\nv";
     for _ in 0..300 {
         let mut client = proxy.client();
-        let _ = client.0.get_mut().write_all(&garbled(&mut chance, access));
+        let _ = client.0.get_mut().write_all(&garbled(&mut chance, request));
     }
     for n in 0..20 {
         let status = proxy.client().ask("once", &format!("k{n}")).status();
@@ -571,7 +571,7 @@
 }
 
 #[test]
-fn a_bound_use_case_goes_to_no_other_kind_or_zone_also_when_its_own_are_down() {
+fn a_bound_class_goes_to_no_other_kind_or_zone_also_when_its_own_are_down() {
     let (other, own) = (misses(), Server::start(|_, _| Does::Answers(200, "own")));
     let origin = Server::start(|_, _| Does::Answers(200, "origin"));
     for down in [false, true] {
--- a/crates/flintwell/tests/process/streams.rs
+++ b/crates/flintwell/tests/process/streams.rs
@@ -94,7 +94,7 @@
     assert!(start.elapsed() < Duration::from_millis(900), "{:?}", start.elapsed());
     thread::sleep(Duration::from_millis(1_500));
     assert!(memory(&proxy) < 32, "{} MB with 256 MB on the way", memory(&proxy));
-    assert_eq!(figures(at)["in_progress"], json!(8), "past their outer limit, and not cut off");
+    assert_eq!(figures(at)["in_progress"], json!(8), "past their deadline, and not cut off");
     let reading: Vec<_> = readers
         .into_iter()
         .map(|mut reader| {
@@ -307,7 +307,7 @@
 }
 
 #[test]
-fn a_body_that_is_passed_on_has_one_hand_off_and_is_turned_back_when_it_never_ran() {
+fn a_body_that_is_passed_on_has_one_attempt_and_is_refused_when_it_never_ran() {
     for (answers, status) in [
         ((|| Does::Answers(503, "")) as fn() -> Does, 503),
         (|| Does::Answers(500, ""), 502),
@@ -328,7 +328,7 @@
     let mut client = proxy.client();
     write(&mut client, "gone", &format!("Content-Length: {}", 4 << 20));
     client.send(&"x".repeat(2 << 20));
-    // One whose client leaves before its hand-off begins has no connection at all.
+    // One whose client leaves before its attempt begins has no connection at all.
     soon("its connection came", || origin.begun() >= 2);
     drop(client);
     soon("its connection closed", || origin.ended() >= 2);
--- a/crates/flintwell/tests/process/support.rs
+++ b/crates/flintwell/tests/process/support.rs
@@ -244,7 +244,7 @@
     pub fn read(&mut self) -> Option<Message> {
         Message::read(&mut self.0)
     }
-    /// An access of this use case; the id is its key too.
+    /// A request of this class; the id is its key too.
     pub fn begin(&mut self, case: &str, id: &str) {
         let (method, body) = if case == "read" { ("GET", "") } else { ("PUT", "v") };
         self.send(&format!(
