--- a/crates/flintwell/src/clients/accept.rs
+++ b/crates/flintwell/src/clients/accept.rs
@@ -6,7 +6,7 @@
 use crate::nodes::relay::{Carried, Content, Way};
 use crate::nodes::stream::Shared;
 use crate::process::clock::PEER_STALL;
-use crate::process::handover::{self, Heir};
+use crate::process::handover::{self, Successor};
 use crate::requests::front::Front;
 use crate::say;
 use bytes::Bytes;
@@ -50,7 +50,7 @@
 const ARRIVES: Duration = Duration::from_millis(900); // in which an answer has surely come to its client
 const LINGER_BYTES: usize = 262_144; // bytes that are thrown away meanwhile; more than what clients have on their way
 const LINGER_MOST: usize = 128; // connections that do so at once; a flood of clients gains no more places than that
-const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the door is closed
+const LAST_LOOK: Duration = Duration::from_millis(5); // at the backlog, once the listener is closed
 
 /// Clients' connections, by how long they have stood idle.
 #[derive(Default)]
@@ -203,7 +203,7 @@
         &self,
         mut connection: Pin<&mut C>,
         way: &Way,
-        heir: &Heir,
+        successor: &Successor,
     ) -> Option<(Carry, Option<Carried>)> {
         self.unwritten.replace(Some(Vec::new()));
         for _ in 0..CUT_TURNS {
@@ -218,7 +218,8 @@
             if way.through() {
                 let unwritten = self.unwritten.borrow_mut().as_mut().map(std::mem::take)?;
                 let (rest, left) = way.rest()?;
-                let kept = heir.keeps(way.kept()).inspect_err(|error| say!("hand-over: {error}")).ok()?;
+                let kept =
+                    successor.keeps(way.kept()).inspect_err(|error| say!("hand-over: {error}")).ok()?;
                 let client = self.stream.clone();
                 return Some((
                     Carry { client, unwritten, kept, rest, chunked: !way.told, open: way.open(), left },
@@ -401,7 +402,7 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts until shutdown closes the door; then takes in what still stands before it.
+/// Accepts until shutdown closes the listener; then takes in what still stands before it.
 pub async fn accept(listener: &TcpListener, room: &Arc<Semaphore>, front: &Front) {
     let shutdown = front.shutdown.clone();
     let many = (room.available_permits() as f64 * MANY) as usize;
@@ -415,7 +416,7 @@
         let (permit, accepted) = tokio::select! {
             // Danger: what comes again after it was refused, let in once more, is refused twice.
             biased;
-            () = shutdown.door_closed() => break,
+            () = shutdown.listener_closed() => break,
             next = next => next,
         };
         match accepted {
@@ -472,11 +473,11 @@
         let mut connection = pin!(http.serve_connection(heard, TowerToHyperService::new(stack)));
         // A successor takes over the long answers that have begun, and those that begin from now on.
         let mut handed = pin!(async {
-            let heir = taken_over.heir().await;
+            let successor = taken_over.successor().await;
             client.long_begins().await;
-            heir
+            successor
         });
-        // Whether a client's connection ended well or badly, the request on it was told by its seat.
+        // Whether a client's connection ended well or badly, the request on it was told by its handle.
         tokio::select! {
             // First, so that a request that has come is read before its connection counts as idle.
             biased;
@@ -485,7 +486,7 @@
             () = client.head_overdue() => return,
             () = client.stands_still() => return,
             () = client.close.notified() => {}
-            heir = handed.as_mut() => return leave(connection, &client, &heir).await,
+            successor = handed.as_mut() => return leave(connection, &client, &successor).await,
             () = idle_closed => {
                 // Danger: a head that comes slowly is cut off by a stop, though its request could be answered.
                 if client.heard(Heard::Part) {
@@ -506,7 +507,7 @@
                 biased;
                 _ = connection.as_mut() => {}
                 () = client.reads_ahead() => {}
-                heir = handed => leave(connection, &client, &heir).await,
+                successor = handed => leave(connection, &client, &successor).await,
             }
         }
     };
@@ -521,13 +522,13 @@
 async fn leave<C: Future<Output = hyper::Result<()>>>(
     mut connection: Pin<&mut C>,
     client: &Rc<Client>,
-    heir: &Heir,
+    successor: &Successor,
 ) {
     let way = client.long.borrow().clone();
     match way.filter(|way| (way.told || client.chunks.get()) && way.halt()) {
         Some(way) => {
-            if let Some((carry, carried)) = client.cut(connection.as_mut(), &way, heir).await {
-                handover::hand_over(heir, carry, carried).await;
+            if let Some((carry, carried)) = client.cut(connection.as_mut(), &way, successor).await {
+                handover::hand_over(successor, carry, carried).await;
             }
         }
         // It ends here, if its client takes it in time.
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -2,10 +2,10 @@
 //! may take is decided by `flintwell-list-watch` and, where the list has to be asked for, by the module.
 
 use crate::clients::body::Outgoing;
-use crate::fleet::roster::Roster;
+use crate::fleet::registry::Registry;
 use crate::nodes::link::{Broken, Came, Cause, Link, Most, Progress};
 use crate::process::clock::span;
-use crate::requests::desk::Desk;
+use crate::requests::dispatcher::Dispatcher;
 use crate::say;
 use bytes::Bytes;
 use flintwell_core::interface::{ListKind, Micros};
@@ -27,7 +27,7 @@
     /// Where it is, as the configuration has it now, and where we asked last.
     addr: watch::Receiver<SocketAddr>,
     asked_at: SocketAddr,
-    roster: Rc<Roster>,
+    registry: Rc<Registry>,
     /// The module asks for the list first; else it is watched from the start.
     wanted: Option<Rc<Notify>>,
     calls: Watch,
@@ -41,12 +41,12 @@
 impl Discovery {
     pub fn new(
         addr: watch::Receiver<SocketAddr>,
-        roster: Rc<Roster>,
+        registry: Rc<Registry>,
         wanted: Option<Rc<Notify>>,
         calls: Watch,
     ) -> Self {
         let asked_at = *addr.borrow();
-        Discovery { addr, asked_at, roster, wanted, calls, version: None, link: None, failed: 0 }
+        Discovery { addr, asked_at, registry, wanted, calls, version: None, link: None, failed: 0 }
     }
 
     /// The list as it was last had.
@@ -55,29 +55,29 @@
     }
 
     /// Calls from when the module first asks for the list, for good: each next call is due when `flintwell-list-watch` says.
-    pub async fn watch(&mut self, desk: &Desk) {
+    pub async fn watch(&mut self, dispatcher: &Dispatcher) {
         let mut moves = self.addr.clone();
         // Started again after a panic, there is nothing to wait for.
         if let Some(wanted) = self.wanted.take() {
             tokio::select! {
                 () = wanted.notified() => {}
                 // What it has to tell there counts as told within seconds.
-                Ok(()) = moves.changed() => self.calls.moved(desk.clock.now()),
+                Ok(()) = moves.changed() => self.calls.moved(dispatcher.clock.now()),
             }
         }
         loop {
             let asked = Instant::now();
             let called = tokio::select! {
-                called = self.call(desk) => called,
+                called = self.call(dispatcher) => called,
                 // Danger: the old discovery would keep us waiting for what only the new one tells.
                 Ok(()) = moves.changed() => {
-                    self.calls.moved(desk.clock.now());
+                    self.calls.moved(dispatcher.clock.now());
                     continue;
                 }
             };
             match called {
                 Ok(listing) => {
-                    self.answered(desk);
+                    self.answered(dispatcher);
                     let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
                     self.tell(&listing, kind);
                     if listing.is_empty() && asked.elapsed() < PACE {
@@ -86,45 +86,45 @@
                     }
                 }
                 Err(broken) => {
-                    let at = self.broken(desk, broken);
+                    let at = self.broken(dispatcher, broken);
                     // Where it has moved to, nothing has failed yet.
-                    if let Ok(Ok(())) = timeout_at(desk.clock.instant(at), moves.changed()).await {
-                        self.calls.moved(desk.clock.now());
+                    if let Ok(Ok(())) = timeout_at(dispatcher.clock.instant(at), moves.changed()).await {
+                        self.calls.moved(dispatcher.clock.now());
                     }
                 }
             }
         }
     }
 
-    fn answered(&mut self, desk: &Desk) {
+    fn answered(&mut self, dispatcher: &Dispatcher) {
         if self.failed > 1 {
             say!("discovery: answers again, after {} calls that failed", self.failed);
         }
         self.failed = 0;
-        self.calls.answered(desk.clock.now());
+        self.calls.answered(dispatcher.clock.now());
     }
 
-    fn broken(&mut self, desk: &Desk, (broken, silent): (Broken, bool)) -> Micros {
+    fn broken(&mut self, dispatcher: &Dispatcher, (broken, silent): (Broken, bool)) -> Micros {
         self.link = None;
         self.failed += 1;
         // An outage is two lines, however often it is asked meanwhile.
         if self.failed == 1 {
             say!("discovery: {broken}");
         }
-        self.calls.failed(desk.clock.now(), silent)
+        self.calls.failed(dispatcher.clock.now(), silent)
     }
 
     fn tell(&mut self, listing: &Listing, kind: ListKind) {
         self.version = Some(listing.version);
-        self.roster.take(listing, kind);
+        self.registry.take(listing, kind);
     }
 
     /// The next call's answer; if there is none, why, and whether nothing was said at all.
-    async fn call(&mut self, desk: &Desk) -> Result<Listing, (Broken, bool)> {
+    async fn call(&mut self, dispatcher: &Dispatcher) -> Result<Listing, (Broken, bool)> {
         let progress = Progress::default();
         let link = self.link().await.map_err(|broken| (broken, false))?;
-        self.calls.grants(self.roster.grace());
-        let call = self.calls.call(desk.clock.now(), self.version.is_none());
+        self.calls.grants(self.registry.grace());
+        let call = self.calls.call(dispatcher.clock.now(), self.version.is_none());
         let answered = timeout(span(call.within), self.exchange(call, link, &progress)).await;
         let body = match answered {
             Ok(answered) => answered.map_err(|broken| (broken, false))?,
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -1,5 +1,5 @@
 //! Which nodes there are.
 
 pub mod discovery;
-pub mod roster;
+pub mod registry;
 pub mod words;
--- a/crates/flintwell/src/fleet/roster.rs
+++ b/crates/flintwell/src/fleet/registry.rs
@@ -3,7 +3,7 @@
 use crate::nodes::pool::Pool;
 use crate::process::live::Live;
 use crate::process::store::{Store, plain};
-use crate::requests::desk::Desk;
+use crate::requests::dispatcher::Dispatcher;
 use crate::say;
 use flintwell_core::interface::{ListKind, Micros, NodeId, Standing};
 use flintwell_settings::Network;
@@ -38,11 +38,11 @@
     NotRecorded,
 }
 
-pub struct Roster {
+pub struct Registry {
     network: Rc<Live<Network>>,
     origin_kind: Option<u32>,
     pool: Rc<Pool>,
-    desk: Rc<Desk>,
+    dispatcher: Rc<Dispatcher>,
     store: Store,
     lines: RefCell<BTreeMap<String, Line>>,
     hands: RefCell<BTreeMap<String, Hand>>,
@@ -50,20 +50,20 @@
     unkept: Cell<Option<u64>>,
 }
 
-impl Roster {
+impl Registry {
     pub fn new(
         network: Rc<Live<Network>>,
         origin_kind: Option<u32>,
         pool: Rc<Pool>,
-        desk: Rc<Desk>,
+        dispatcher: Rc<Dispatcher>,
         store: Store,
     ) -> Rc<Self> {
         let hands = RefCell::new(recorded(&store));
-        Rc::new(Roster {
+        Rc::new(Registry {
             network,
             origin_kind,
             pool,
-            desk,
+            dispatcher,
             store,
             lines: RefCell::default(),
             hands,
@@ -131,7 +131,7 @@
             }
             entries.push(entry);
         }
-        self.desk.list(kind, entries);
+        self.dispatcher.list(kind, entries);
     }
 
     /// A line with the operators' word laid over it.
@@ -199,7 +199,7 @@
     }
 
     fn now_ms(&self) -> f64 {
-        (self.desk.clock.now() / 1_000) as f64
+        (self.dispatcher.clock.now() / 1_000) as f64
     }
 
     /// Records it before it is in force, so that no yes is lost with this process.
--- a/crates/flintwell/src/fleet/words.rs
+++ b/crates/flintwell/src/fleet/words.rs
@@ -3,7 +3,7 @@
 
 use crate::process::clock::Clock;
 use crate::process::config::Words as Config;
-use crate::requests::desk::Desk;
+use crate::requests::dispatcher::Dispatcher;
 use crate::say;
 use crate::staff::counts::Counts;
 use flintwell_core::interface::Micros;
@@ -50,7 +50,7 @@
     member: RefCell<Member>,
     share: RefCell<Share>,
     probes: RefCell<Probes>,
-    desk: Rc<Desk>,
+    dispatcher: Rc<Dispatcher>,
     counts: Rc<Counts>,
     socket: RefCell<Option<Rc<UdpSocket>>>,
     next_round: Cell<u64>,
@@ -79,10 +79,10 @@
         name: String,
         (number, fleet): (u32, u32),
         seed: u64,
-        desk: Rc<Desk>,
+        dispatcher: Rc<Dispatcher>,
         counts: Rc<Counts>,
     ) -> Self {
-        let clock = desk.clock;
+        let clock = dispatcher.clock;
         let now = ms(clock.now());
         let id = Id { number, addr: config.advertise, life: now };
         let settings =
@@ -96,7 +96,7 @@
             next_round: Cell::new(now + share.first_round()),
             share: RefCell::new(share),
             probes: RefCell::new(Probes::new(number, seed)),
-            desk,
+            dispatcher,
             counts,
             socket: RefCell::default(),
             left: Notify::new(),
@@ -165,12 +165,12 @@
 
     fn round(&self, now: u64, wire: &mut Sends) {
         let (mut share, mut member) = (self.share.borrow_mut(), self.member.borrow_mut());
-        let wanted = self.desk.granted(share.rate(now));
+        let wanted = self.dispatcher.granted(share.rate(now));
         let (fetches, refused) = (self.counts.fetches.get(), self.counts.refused.get());
         let counted = Counted { wanted, taken: fetches.saturating_sub(refused), refused };
         let others = member.others();
         let numbers: Vec<u32> = others.iter().map(|other| other.number).collect();
-        let silent = self.desk.silent();
+        let silent = self.dispatcher.silent();
         let names: Vec<&str> = silent.iter().map(|node| &**node).collect();
         let (hints, probed) = self.probes.borrow_mut().round(now, &names, &numbers);
         for (node, hint) in hints {
@@ -178,7 +178,7 @@
                 Hint::Leave(ms) => ms as Micros * 1_000,
                 Hint::Try => 0,
             };
-            self.desk.tried_by_others(&silent[node], time);
+            self.dispatcher.tried_by_others(&silent[node], time);
         }
         let probed = probed.into_iter().map(|(to, word)| (to, word.encode()));
         let shared = share.round(now, counted, &numbers).into_iter().map(|(to, word)| (to, word.encode()));
@@ -214,7 +214,7 @@
 
     pub fn fleet(&self) -> Fleet {
         let member = self.member.borrow();
-        let silent = self.desk.silent();
+        let silent = self.dispatcher.silent();
         let names: Vec<&str> = silent.iter().map(|node| &**node).collect();
         let others: Vec<u32> = member.others().iter().map(|other| other.number).collect();
         Fleet {
--- a/crates/flintwell/src/nodes/relay.rs
+++ b/crates/flintwell/src/nodes/relay.rs
@@ -5,7 +5,7 @@
 use crate::nodes::link::Link;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{PEER_STALL, Patience};
-use crate::requests::desk::Seat;
+use crate::requests::dispatcher::RequestHandle;
 use crate::staff::counts::{Counts, End, InHand};
 use bytes::Bytes;
 use flintwell_core::interface::NodeId;
@@ -56,7 +56,7 @@
 pub struct Carried {
     counts: Rc<Counts>,
     pub case: usize,
-    _seat: Seat,
+    _handle: RequestHandle,
     _in_hand: InHand,
 }
 
@@ -293,8 +293,8 @@
     }
 
     /// Its request ends with it.
-    pub fn carries(&self, seat: Seat, in_hand: InHand, counts: Rc<Counts>, case: usize) {
-        self.way.carried.replace(Some(Carried { counts, case, _seat: seat, _in_hand: in_hand }));
+    pub fn carries(&self, handle: RequestHandle, in_hand: InHand, counts: Rc<Counts>, case: usize) {
+        self.way.carried.replace(Some(Carried { counts, case, _handle: handle, _in_hand: in_hand }));
     }
 }
 
--- a/crates/flintwell/src/process/handover.rs
+++ b/crates/flintwell/src/process/handover.rs
@@ -48,7 +48,7 @@
 }
 
 /// The successor, as the one who hands over sees it.
-pub struct Heir {
+pub struct Successor {
     socket: Mutex<Option<UnixSeqpacket>>,
     /// Its last word.
     heard_at: Cell<Instant>,
@@ -56,7 +56,7 @@
 }
 
 /// Finds the successor that takes over at this path; one line in the log where there is none.
-pub async fn heir(path: Option<&Path>) -> Option<Heir> {
+pub async fn successor(path: Option<&Path>) -> Option<Successor> {
     let folder = path.and_then(Path::parent).map(Path::to_owned);
     let meets = async {
         let folder = folder.ok_or(io::ErrorKind::NotFound)?;
@@ -67,10 +67,10 @@
         if &hello[..said] != HELLO {
             return Err(io::Error::other("it is of another version"));
         }
-        Ok(Heir { socket: Mutex::new(Some(socket)), heard_at: Cell::new(Instant::now()), folder })
+        Ok(Successor { socket: Mutex::new(Some(socket)), heard_at: Cell::new(Instant::now()), folder })
     };
     match timeout(ANSWERS, meets).await.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
-        Ok(heir) => Some(heir),
+        Ok(successor) => Some(successor),
         Err(error) => {
             say!("the successor takes over no long answers: {error}");
             None
@@ -78,7 +78,7 @@
     }
 }
 
-impl Heir {
+impl Successor {
     /// Puts pieces of an answer into a file without a name, which goes with it: they are too long for a message.
     pub fn keeps(&self, pieces: impl Iterator<Item = Bytes>) -> io::Result<Option<(File, u64)>> {
         let (mut file, mut length) = (None, 0);
@@ -148,8 +148,8 @@
 }
 
 /// Hands an answer over; what the successor does not take is passed on here, as without one.
-pub async fn hand_over(heir: &Heir, carry: Carry, carried: Option<Carried>) {
-    if heir.takes(&carry, carried.as_ref().map(|carried| carried.case)).await {
+pub async fn hand_over(successor: &Successor, carry: Carry, carried: Option<Carried>) {
+    if successor.takes(&carry, carried.as_ref().map(|carried| carried.case)).await {
         return;
     }
     let whole = carry.pass_on().await;
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -4,7 +4,7 @@
 use crate::clients::body::Budget;
 use crate::clients::presence::Presence;
 use crate::fleet::discovery::Discovery;
-use crate::fleet::roster::Roster;
+use crate::fleet::registry::Registry;
 use crate::fleet::words::Words;
 use crate::nodes::attempt::Attempts;
 use crate::nodes::pool::Pool;
@@ -17,7 +17,7 @@
 use crate::process::shutdown;
 use crate::process::store::Store;
 use crate::process::succession::Succession;
-use crate::requests::desk::Desk;
+use crate::requests::dispatcher::Dispatcher;
 use crate::requests::front::Front;
 use crate::requests::watch::Watch;
 use crate::say;
@@ -49,7 +49,7 @@
 const OWN_SOCKETS: usize = 32; // descriptors; runtime, signals, log, listener, discovery; some spare
 
 /// Does a part's work to its end. Danger: a part that panics would be missed for as long as we run, with no
-/// sign of it: a list grown old, a door shut.
+/// sign of it: a list grown old, a listener shut.
 async fn lasting(part: &str, mut work: impl AsyncFnMut()) {
     while AssertUnwindSafe(work()).catch_unwind().await.is_err() {
         say!("{part} panicked, and starts again");
@@ -136,27 +136,28 @@
     let origin_kind = config.settings.origin_kind;
     let (clock, seed) = (Clock::start(), config.seed);
     let watch = config.watch_with.map(|other| Rc::new(Watch::new(clock.now(), other, seed)));
-    let desk = Rc::new(Desk::new(clock, config.settings, seed, list_wanted, pool.clone(), watch.clone()));
+    let dispatcher =
+        Rc::new(Dispatcher::new(clock, config.settings, seed, list_wanted, pool.clone(), watch.clone()));
     if let Some(watch) = watch {
         spawn_local(lasting("watch", async move || watch.tell().await));
     }
-    let succession = Succession::open(store.clone(), desk.clock.now());
+    let succession = Succession::open(store.clone(), dispatcher.clock.now());
     let succession = Rc::new(succession.map_err(|e| format!("folder for temporary files: {e}"))?);
-    let roster = Roster::new(network.clone(), origin_kind, pool.clone(), desk.clone(), store);
+    let registry = Registry::new(network.clone(), origin_kind, pool.clone(), dispatcher.clone(), store);
     let (moves, discovery_at) = watch::channel(config.discovery);
     let mut discovery =
-        Discovery::new(discovery_at, roster.clone(), asked, ListWatch::new(clock.now(), figures, seed));
-    discovery.start(roster.left().as_ref().unwrap_or(&config.known));
-    let watched = desk.clone();
+        Discovery::new(discovery_at, registry.clone(), asked, ListWatch::new(clock.now(), figures, seed));
+    discovery.start(registry.left().as_ref().unwrap_or(&config.known));
+    let watched = dispatcher.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
     let reloading = async move || reload::on_signal(&mut hangup, &path, &moves).await;
     spawn_local(lasting("reload", reloading));
-    let timed = desk.clone();
+    let timed = dispatcher.clone();
     spawn_local(lasting("timer", async move || timed.keep_time().await));
-    let beating = desk.clone();
+    let beating = dispatcher.clone();
     spawn_local(lasting("pulse", async move || beating.pulse.beat().await));
-    let followed = roster.clone();
-    spawn_local(lasting("roster", async move || followed.follow().await));
+    let followed = registry.clone();
+    spawn_local(lasting("registry", async move || followed.follow().await));
     let swept = pool.clone();
     spawn_local(lasting("sweep", async move || swept.sweep().await));
     let (stop, shutdown) = shutdown::new();
@@ -165,50 +166,50 @@
     let (sharing, stopping) = (succession.clone(), shutdown.clone());
     spawn_local(lasting("shares", async move || sharing.share(&rooms, &stopping).await));
     let rollout = changes.map(|(disk, member)| {
-        let (put_desk, put_network) = (desk.clone(), network.clone());
-        let (put_counts, put_roster) = (counts.clone(), roster.clone());
+        let (put_dispatcher, put_network) = (dispatcher.clone(), network.clone());
+        let (put_counts, put_registry) = (counts.clone(), registry.clone());
         let put = move |settings: &serde_json::Value| match (decode(settings), decode_network(settings)) {
             // One turn of our one thread: nothing sees the parts at odds.
             (Ok(settings), Ok(network)) => {
                 put_counts.knows(&network.classes);
                 put_network.set(network);
-                put_desk.change(settings);
-                put_roster.retell();
+                put_dispatcher.change(settings);
+                put_registry.retell();
             }
             // They were checked when they were staged.
             (Err(error), _) | (_, Err(error)) => say!("settings not in force: {error}"),
         };
         Rc::new(Rollout {
             name: config.name.clone(),
-            clock: desk.clock,
-            started_ms: (desk.clock.now() / 1_000).max(0) as u64,
+            clock: dispatcher.clock,
+            started_ms: (dispatcher.clock.now() / 1_000).max(0) as u64,
             member: RefCell::new(member),
             disk,
             counts: counts.clone(),
             changed: Notify::new(),
             put: Box::new(put),
-            roster: roster.clone(),
+            registry: registry.clone(),
         })
     });
     if let Some(rollout) = rollout.clone() {
         spawn_local(lasting("rollout", async move || rollout.follow().await));
     }
     let words = config.words.take().map(|words| {
-        let (desk, counts) = (desk.clone(), counts.clone());
-        Rc::new(Words::new(words, config.name.clone(), place, seed, desk, counts))
+        let (dispatcher, counts) = (dispatcher.clone(), counts.clone());
+        Rc::new(Words::new(words, config.name.clone(), place, seed, dispatcher, counts))
     });
     if let Some(words) = words.clone() {
         spawn_local(lasting("words", async move || words.speak().await));
     }
     if let (Some(words), shutdown) = (words.clone(), shutdown.clone()) {
         spawn_local(async move {
-            shutdown.door_closed().await;
+            shutdown.listener_closed().await;
             words.leave();
         });
     }
     if let Some(listener) = management {
-        let (counts, desk, shutdown) = (counts.clone(), desk.clone(), shutdown.clone());
-        let office = Rc::new(Office { counts, desk, roster, shutdown, rollout, words });
+        let (counts, dispatcher, shutdown) = (counts.clone(), dispatcher.clone(), shutdown.clone());
+        let office = Rc::new(Office { counts, dispatcher, registry, shutdown, rollout, words });
         let answering = async move || management::answer(&listener, &office).await;
         spawn_local(lasting("second address", answering));
     }
@@ -216,8 +217,8 @@
         // Danger: one that can't be reached so would be no reason not to serve.
         match UnixSeqpacketListener::bind(&path) {
             Ok(mut listener) => {
-                let heirloom = Inheritance { rooms: [room.clone(), pool.room()], counts: counts.clone() };
-                spawn_local(lasting("hand-over", async move || heirloom.take_over(&mut listener).await));
+                let takeover = Inheritance { rooms: [room.clone(), pool.room()], counts: counts.clone() };
+                spawn_local(lasting("hand-over", async move || takeover.take_over(&mut listener).await));
             }
             Err(error) => say!("long answers can't be taken over: {error}"),
         }
@@ -225,17 +226,19 @@
     let attempts = Attempts::new(pool, counts.clone(), Budget::new(config.answers));
     let budget = Budget::new(config.bodies);
     let longest_now = network.clone();
-    let front = Front { desk, attempts, counts, network, budget, shutdown, client: Presence::default() };
+    let front =
+        Front { dispatcher, attempts, counts, network, budget, shutdown, client: Presence::default() };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
     say!("{} serves on {at}", config.name);
-    let doors = room.clone();
+    let client_room = room.clone();
     let accepting =
-        spawn_local(lasting("accept", async move || accept::accept(&listener, &doors, &front).await));
+        spawn_local(lasting("accept", async move || accept::accept(&listener, &client_room, &front).await));
     let longest = || span(longest_now.get().longest);
-    let successor = || inherits && succession.succeeded();
-    let heir = async || handover::heir(succession.heir().as_deref()).await;
-    let stopped = stop.on_signal(accepting, room, connections as u32, longest, successor, heir).await;
+    let has_successor = || inherits && succession.succeeded();
+    let successor = async || handover::successor(succession.successor().as_deref()).await;
+    let stopped =
+        stop.on_signal(accepting, room, connections as u32, longest, has_successor, successor).await;
     stopped.map_err(|e| format!("signals: {e}"))
 }
 
--- a/crates/flintwell/src/process/succession.rs
+++ b/crates/flintwell/src/process/succession.rs
@@ -53,7 +53,7 @@
         self.others().next().is_some()
     }
 
-    /// Whether a younger one serves. Danger: to leave the door to one that was killed meanwhile would leave
+    /// Whether a younger one serves. Danger: to leave the listener to one that was killed meanwhile would leave
     /// nobody there; its lock went with it.
     pub fn succeeded(&self) -> bool {
         self.successors().next().is_some()
@@ -65,7 +65,7 @@
     }
 
     /// Where the youngest of those takes over what we have begun.
-    pub fn heir(&self) -> Option<PathBuf> {
+    pub fn successor(&self) -> Option<PathBuf> {
         self.store.path(&format!("{TAKES}{}", self.successors().max()?))
     }
 
--- a/crates/flintwell/src/requests/desk.rs
+++ b/crates/flintwell/src/requests/dispatcher.rs
@@ -1,5 +1,5 @@
-//! Where requests meet the decision module: the module in its cell, the seats of the requests in hand, and
-//! the host's calls, which only reach a seat and never re-enter the module.
+//! Where requests meet the decision module: the module in its cell, the handles of the requests in hand, and
+//! the host's calls, which only reach a handle and never re-enter the module.
 
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, Pulse};
@@ -35,7 +35,7 @@
 }
 
 /// What the module's calls reach.
-struct Board {
+struct Mailboxes {
     places: RefCell<HashMap<RequestId, Rc<Place>>>,
     timers: RefCell<BTreeSet<(Micros, u64)>>,
     timer_set: Notify,
@@ -44,7 +44,7 @@
     watch: Option<Rc<Watch>>,
 }
 
-impl Board {
+impl Mailboxes {
     fn call(&self, request: &RequestId, step: Step) {
         if let Some(watch) = &self.watch {
             let said = match &step {
@@ -64,9 +64,9 @@
     }
 }
 
-struct Reach(Rc<Board>);
+struct HostCalls(Rc<Mailboxes>);
 
-impl Host for Reach {
+impl Host for HostCalls {
     fn attempt(&mut self, request: &RequestId, node: &NodeId, allow_for: Micros) {
         self.0.call(request, Step::Attempt { node: node.clone(), allow_for });
     }
@@ -88,14 +88,14 @@
     }
 }
 
-pub struct Desk {
+pub struct Dispatcher {
     pub clock: Clock,
     pub pulse: Pulse,
-    module: RefCell<Policy<Reach>>,
-    board: Rc<Board>,
+    module: RefCell<Policy<HostCalls>>,
+    mailboxes: Rc<Mailboxes>,
 }
 
-impl Desk {
+impl Dispatcher {
     pub fn new(
         clock: Clock,
         settings: Settings,
@@ -104,7 +104,7 @@
         pool: Rc<Pool>,
         watch: Option<Rc<Watch>>,
     ) -> Self {
-        let board = Rc::new(Board {
+        let mailboxes = Rc::new(Mailboxes {
             places: RefCell::default(),
             timers: RefCell::default(),
             timer_set: Notify::new(),
@@ -112,24 +112,24 @@
             pool,
             watch,
         });
-        let module = RefCell::new(Policy::start(clock.now(), settings, seed, Reach(board.clone())));
-        Desk { clock, pulse: Pulse::new(clock), module, board }
+        let module = RefCell::new(Policy::start(clock.now(), settings, seed, HostCalls(mailboxes.clone())));
+        Dispatcher { clock, pulse: Pulse::new(clock), module, mailboxes }
     }
 
     /// Calls the module; nothing is awaited in there. False if it panicked. Danger: a panic in a call made
     /// for the timer or the list would end those for good, and lose every request held.
-    fn module(&self, call: impl FnOnce(&mut Policy<Reach>), watched: impl FnOnce(&Watch)) -> bool {
+    fn module(&self, call: impl FnOnce(&mut Policy<HostCalls>), watched: impl FnOnce(&Watch)) -> bool {
         let done = catch_unwind(AssertUnwindSafe(|| call(&mut self.module.borrow_mut())));
         if done.is_err() {
             say!("a call of the module panicked");
         }
         // After the one that decides, and whatever became of that.
-        self.board.watch.as_deref().inspect(|watch| watched(watch));
+        self.mailboxes.watch.as_deref().inspect(|watch| watched(watch));
         done.is_ok()
     }
 
     pub fn list(&self, kind: ListKind, entries: Vec<Entry>) {
-        let (now, copy) = (self.clock.now(), self.board.watch.as_ref().map(|_| entries.clone()));
+        let (now, copy) = (self.clock.now(), self.mailboxes.watch.as_ref().map(|_| entries.clone()));
         let watched = |watch: &Watch| watch.list(now, kind, copy.unwrap_or_default());
         self.module(|module| module.list(now, kind, entries), watched);
     }
@@ -177,15 +177,15 @@
         self.module.borrow().avoided(self.clock.now())
     }
 
-    /// A seat for a request; none while another of the same id is in hand.
-    pub fn seat(self: &Rc<Self>, id: RequestId) -> Option<Seat> {
+    /// A handle for a request; none while another of the same id is in hand.
+    pub fn handle(self: &Rc<Self>, id: RequestId) -> Option<RequestHandle> {
         let place = Rc::new(Place::default());
-        let mut places = self.board.places.borrow_mut();
+        let mut places = self.mailboxes.places.borrow_mut();
         if places.contains_key(&id) {
             return None;
         }
         places.insert(id.clone(), place.clone());
-        Some(Seat { desk: self.clone(), id, place, attempts: 0, out: None, over: true })
+        Some(RequestHandle { dispatcher: self.clone(), id, place, attempts: 0, out: None, over: true })
     }
 
     /// Calls the module at the times it asked for. Danger: a time that has passed, asked for again at each
@@ -193,7 +193,8 @@
     pub async fn keep_time(&self) {
         let mut not_before = 0;
         loop {
-            let first = self.board.timers.borrow().first().map_or(self.clock.now() + FAR, |timer| timer.0);
+            let first =
+                self.mailboxes.timers.borrow().first().map_or(self.clock.now() + FAR, |timer| timer.0);
             tokio::select! {
                 () = sleep_until(self.clock.instant(first.max(not_before))) => {
                     let now = self.clock.now();
@@ -202,13 +203,13 @@
                     }
                     not_before = now + STEP;
                 }
-                () = self.board.timer_set.notified() => {}
+                () = self.mailboxes.timer_set.notified() => {}
             }
         }
     }
 
     fn due(&self, now: Micros) -> Option<u64> {
-        let mut timers = self.board.timers.borrow_mut();
+        let mut timers = self.mailboxes.timers.borrow_mut();
         let due = timers.first().is_some_and(|timer| timer.0 <= now);
         if due { timers.pop_first().map(|timer| timer.1) } else { None }
     }
@@ -216,8 +217,8 @@
 
 /// A request's place before the module. Dropped before the request is over, it tells the module that the
 /// client is gone and that the attempt out, if any, was cancelled.
-pub struct Seat {
-    desk: Rc<Desk>,
+pub struct RequestHandle {
+    dispatcher: Rc<Dispatcher>,
     id: RequestId,
     place: Rc<Place>,
     attempts: usize,
@@ -225,22 +226,22 @@
     over: bool,
 }
 
-impl Seat {
+impl RequestHandle {
     pub fn arrives(&mut self, arrival: Arrival) {
         self.over = false;
-        let now = self.desk.clock.now();
-        let copy = self.desk.board.watch.as_ref().map(|watch| {
+        let now = self.dispatcher.clock.now();
+        let copy = self.dispatcher.mailboxes.watch.as_ref().map(|watch| {
             watch.expects(&self.id);
             arrival.clone()
         });
         let watched = |watch: &Watch| copy.into_iter().for_each(|arrival| watch.arrives(now, arrival));
-        self.or_fail(self.desk.module(|module| module.request_arrives(now, arrival), watched));
+        self.or_fail(self.dispatcher.module(|module| module.request_arrives(now, arrival), watched));
     }
 
     /// A request that the module could not decide on is failed.
     fn or_fail(&self, decided: bool) {
         if !decided {
-            self.desk.board.call(&self.id, Step::Fail);
+            self.dispatcher.mailboxes.call(&self.id, Step::Fail);
         }
     }
 
@@ -254,7 +255,7 @@
                 self.place.called.notified().await;
             }
         };
-        let step = timeout_at(self.desk.clock.instant(deadline), word).await.ok()?;
+        let step = timeout_at(self.dispatcher.clock.instant(deadline), word).await.ok()?;
         self.over = !matches!(step, Step::Attempt { .. });
         Some(step)
     }
@@ -269,25 +270,25 @@
         self.over |= ending == Ending::Served;
         let outcome = Outcome { number: self.attempts, ending, wait, settled: self.over, first };
         self.attempts += 1;
-        let (now, id) = (self.desk.clock.now(), &self.id);
+        let (now, id) = (self.dispatcher.clock.now(), &self.id);
         let watched = |watch: &Watch| watch.outcome(now, id, &node, outcome);
-        self.or_fail(self.desk.module(|module| module.outcome(now, id, &node, outcome), watched));
+        self.or_fail(self.dispatcher.module(|module| module.outcome(now, id, &node, outcome), watched));
     }
 }
 
-impl Drop for Seat {
+impl Drop for RequestHandle {
     fn drop(&mut self) {
-        let (now, id) = (self.desk.clock.now(), self.id.clone());
+        let (now, id) = (self.dispatcher.clock.now(), self.id.clone());
         // Danger: an attempt that the module has told and nobody has taken yet would count as out for good.
         if let Some(Step::Attempt { node, .. }) = self.place.next.take() {
             self.out.get_or_insert(node);
         }
         if !std::mem::replace(&mut self.over, true) {
-            self.desk.module(|module| module.request_gone(now, &id), |watch| watch.gone(now, &id));
+            self.dispatcher.module(|module| module.request_gone(now, &id), |watch| watch.gone(now, &id));
         }
         self.ended(Ending::Cancelled, 0, false);
-        self.desk.board.watch.as_deref().inspect(|watch| watch.over(now, &id));
-        self.desk.board.places.borrow_mut().remove(&self.id);
+        self.dispatcher.mailboxes.watch.as_deref().inspect(|watch| watch.over(now, &id));
+        self.dispatcher.mailboxes.places.borrow_mut().remove(&self.id);
     }
 }
 
--- a/crates/flintwell/src/requests/desk/tests.rs
+++ b/crates/flintwell/src/requests/dispatcher/tests.rs
@@ -2,12 +2,12 @@
 use crate::requests::watch::Counts;
 use flintwell_core::interface::Standing;
 
-fn desk() -> Rc<Desk> {
-    desk_with(None)
+fn dispatcher() -> Rc<Dispatcher> {
+    dispatcher_with(None)
 }
 
 /// With a second module to watch, whose settings have these laid over.
-fn desk_with(other: Option<serde_json::Value>) -> Rc<Desk> {
+fn dispatcher_with(other: Option<serde_json::Value>) -> Rc<Dispatcher> {
     let conf = serde_json::json!({"use_cases": [{"effect": "safe", "goal_time": 1.0}],
         "specifics": {"mode": "aside", "origin_kind": 1}, "limits": {"max_hand_offs": 4}});
     let settings = flintwell_settings::decode(&conf).expect("settings");
@@ -16,7 +16,7 @@
             flintwell_settings::decode(&flintwell_settings::laid_over(conf, other)).expect("settings");
         Rc::new(Watch::new(0, other, 1))
     });
-    Rc::new(Desk::new(Clock::start(), settings, 1, Rc::default(), Pool::new(1, 1, 1), watch))
+    Rc::new(Dispatcher::new(Clock::start(), settings, 1, Rc::default(), Pool::new(1, 1, 1), watch))
 }
 
 fn entry(node: &str, kind: u32, zone: u32) -> Entry {
@@ -25,55 +25,55 @@
 }
 
 /// A read of this key that has missed at the cache, if it came that far, and what the module says then.
-fn missed(desk: &Rc<Desk>, id: &str, key: &str) -> (Seat, Option<Step>) {
-    let (seat, step, _) = read(desk, id, key);
-    (seat, step)
+fn missed(dispatcher: &Rc<Dispatcher>, id: &str, key: &str) -> (RequestHandle, Option<Step>) {
+    let (handle, step, _) = read(dispatcher, id, key);
+    (handle, step)
 }
 
 /// The same, with the cache that it went to.
-fn read(desk: &Rc<Desk>, id: &str, key: &str) -> (Seat, Option<Step>, Option<NodeId>) {
+fn read(dispatcher: &Rc<Dispatcher>, id: &str, key: &str) -> (RequestHandle, Option<Step>, Option<NodeId>) {
     let mut first = None;
-    let mut seat = desk.seat(id.into()).expect("a seat");
+    let mut handle = dispatcher.handle(id.into()).expect("a handle");
     let (id, key) = (id.into(), Some(key.into()));
-    let deadline = desk.clock.now() + 1_000_000;
-    seat.arrives(Arrival { id, class: 0, tenant: 0, key, deadline, work: None, write: false });
-    if let Some(Step::Attempt { node, .. }) = seat.place.next.take() {
-        seat.sends(&node);
+    let deadline = dispatcher.clock.now() + 1_000_000;
+    handle.arrives(Arrival { id, class: 0, tenant: 0, key, deadline, work: None, write: false });
+    if let Some(Step::Attempt { node, .. }) = handle.place.next.take() {
+        handle.sends(&node);
         first = Some(node);
-        seat.ended(Ending::Miss, 1_000, false);
+        handle.ended(Ending::Miss, 1_000, false);
     }
-    let step = seat.place.next.take();
+    let step = handle.place.next.take();
     if let Some(Step::Attempt { node, .. }) = &step {
-        seat.sends(node);
+        handle.sends(node);
     }
-    (seat, step, first)
+    (handle, step, first)
 }
 
 #[test]
 fn a_panic_in_a_call_ends_neither_the_timer_nor_the_requests() {
-    let desk = desk();
-    let seat = desk.seat("a".into()).expect("a seat");
-    assert!(!desk.module(|_| panic!("as a test"), |_| ()));
-    seat.or_fail(false);
-    assert!(matches!(seat.place.next.take(), Some(Step::Fail)));
-    assert!(desk.module(|module| module.timer(0, 0), |_| ()));
-    assert!(desk.seat("a".into()).is_none(), "the id is in hand");
+    let dispatcher = dispatcher();
+    let handle = dispatcher.handle("a".into()).expect("a handle");
+    assert!(!dispatcher.module(|_| panic!("as a test"), |_| ()));
+    handle.or_fail(false);
+    assert!(matches!(handle.place.next.take(), Some(Step::Fail)));
+    assert!(dispatcher.module(|module| module.timer(0, 0), |_| ()));
+    assert!(dispatcher.handle("a".into()).is_none(), "the id is in hand");
 }
 
 /// What the module that decides said of sixty reads, and what was counted beside it.
 fn reads(other: Option<serde_json::Value>) -> (Vec<NodeId>, Option<Counts>) {
-    let desk = desk_with(other);
+    let dispatcher = dispatcher_with(other);
     let far = [entry("far 1", 0, 1), entry("far 2", 0, 1)];
     let near = [entry("near 1", 0, 0), entry("near 2", 0, 0), entry("origin", 1, 0)];
-    desk.list(ListKind::Whole, far.into_iter().chain(near).collect());
+    dispatcher.list(ListKind::Whole, far.into_iter().chain(near).collect());
     let mut sent = Vec::new();
     for n in 0..60 {
-        let (mut seat, step, first) = read(&desk, &format!("a{n}"), &format!("k{n}"));
+        let (mut handle, step, first) = read(&dispatcher, &format!("a{n}"), &format!("k{n}"));
         assert!(matches!(step, Some(Step::Attempt { .. })), "fetched, whatever is watched");
         sent.push(first.expect("a cache"));
-        seat.ended(Ending::Served, 1_000, false);
+        handle.ended(Ending::Served, 1_000, false);
     }
-    (sent, desk.board.watch.as_ref().map(|watch| watch.counts()))
+    (sent, dispatcher.mailboxes.watch.as_ref().map(|watch| watch.counts()))
 }
 
 #[test]
@@ -98,37 +98,37 @@
 
 #[test]
 fn a_panic_of_the_module_that_is_watched_touches_no_request() {
-    let desk = desk_with(Some(serde_json::json!({})));
-    let watch = desk.board.watch.clone().expect("it");
+    let dispatcher = dispatcher_with(Some(serde_json::json!({})));
+    let watch = dispatcher.mailboxes.watch.clone().expect("it");
     watch.fails();
-    desk.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
-    assert!(matches!(missed(&desk, "a", "k").1, Some(Step::Attempt { .. })));
+    dispatcher.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
+    assert!(matches!(missed(&dispatcher, "a", "k").1, Some(Step::Attempt { .. })));
     assert_eq!(watch.counts(), Counts::default());
 }
 
 #[test]
 fn a_client_that_leaves_while_held_leaves_no_fetch_behind() {
-    let desk = desk();
-    desk.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
-    let (mut leader, step) = missed(&desk, "leader", "k");
+    let dispatcher = dispatcher();
+    dispatcher.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
+    let (mut leader, step) = missed(&dispatcher, "leader", "k");
     assert!(matches!(step, Some(Step::Attempt { .. })));
     for n in 0..8 {
-        assert!(missed(&desk, &format!("held {n}"), "k").1.is_none(), "held, then dropped");
+        assert!(missed(&dispatcher, &format!("held {n}"), "k").1.is_none(), "held, then dropped");
     }
     leader.ended(Ending::Error, 1_000, false);
-    let others = ["a", "b", "c"].map(|key| missed(&desk, key, key));
+    let others = ["a", "b", "c"].map(|key| missed(&dispatcher, key, key));
     assert!(others.iter().all(|(_, step)| matches!(step, Some(Step::Attempt { .. }))));
 }
 
 #[test]
 fn a_step_told_to_one_whose_client_leaves_before_it_is_taken_leaves_nothing_out() {
-    let desk = desk();
-    desk.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
+    let dispatcher = dispatcher();
+    dispatcher.list(ListKind::Whole, vec![entry("cache", 0, 0), entry("origin", 1, 0)]);
     // Far more than may be out at the origin at once; each is told to go there and dropped before it takes its step.
     for n in 0..64 {
-        let (mut leader, step) = missed(&desk, &format!("leader {n}"), &format!("k{n}"));
+        let (mut leader, step) = missed(&dispatcher, &format!("leader {n}"), &format!("k{n}"));
         assert!(matches!(step, Some(Step::Attempt { .. })), "{n}: fetched");
-        let (held, none) = missed(&desk, &format!("held {n}"), &format!("k{n}"));
+        let (held, none) = missed(&dispatcher, &format!("held {n}"), &format!("k{n}"));
         assert!(none.is_none(), "held");
         leader.ended(Ending::Spoilt, 1_000, false);
         drop(leader);
--- a/crates/flintwell/src/requests/front.rs
+++ b/crates/flintwell/src/requests/front.rs
@@ -9,7 +9,7 @@
 use crate::nodes::relay::Content;
 use crate::process::live::Live;
 use crate::process::shutdown::Shutdown;
-use crate::requests::desk::Desk;
+use crate::requests::dispatcher::Dispatcher;
 use crate::requests::request;
 use crate::staff::counts::Counts;
 use flintwell_settings::Network;
@@ -25,7 +25,7 @@
 
 #[derive(Clone)]
 pub struct Front {
-    pub desk: Rc<Desk>,
+    pub dispatcher: Rc<Dispatcher>,
     pub attempts: Attempts,
     pub counts: Rc<Counts>,
     pub network: Rc<Live<Network>>,
@@ -48,7 +48,7 @@
                 answer.end().inspect(|&end| self.counts.ended(request.class, end));
                 answer
             }
-            Ok(request) => request::serve(request, &self.desk, &self.attempts, &self.counts).await,
+            Ok(request) => request::serve(request, &self.dispatcher, &self.attempts, &self.counts).await,
             Err(malformed) => Answer::Malformed(malformed),
         }
     }
--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -6,7 +6,7 @@
 use crate::nodes::link::Cause;
 use crate::nodes::relay::Content;
 use crate::process::count::one_more;
-use crate::requests::desk::{Desk, Seat, Step};
+use crate::requests::dispatcher::{Dispatcher, RequestHandle, Step};
 use crate::staff::counts::Counts;
 use flintwell_core::interface::{Ending, Micros};
 use std::rc::Rc;
@@ -15,19 +15,19 @@
 
 pub async fn serve(
     request: ClientRequest,
-    desk: &Rc<Desk>,
+    dispatcher: &Rc<Dispatcher>,
     attempts: &Attempts,
     counts: &Rc<Counts>,
 ) -> Answer {
     let (in_hand, case) = (counts.takes(), request.class);
-    let Some(mut seat) = desk.seat(request.id.clone()) else { return Answer::InHand };
+    let Some(mut handle) = dispatcher.handle(request.id.clone()) else { return Answer::InHand };
     // Danger: what waits while the process stands still is read late; counted from then on, it would look quick.
-    let began = desk.pulse.waited_from();
-    let mut answer = decide(request, began, &mut seat, desk, attempts, counts).await;
-    counts.took(desk.clock.now() - began);
+    let began = dispatcher.pulse.waited_from();
+    let mut answer = decide(request, began, &mut handle, dispatcher, attempts, counts).await;
+    counts.took(dispatcher.clock.now() - began);
     answer.end().inspect(|&end| counts.ended(case, end));
     if let Answer::Served(Content::Long(relay)) = &mut answer {
-        relay.carries(seat, in_hand, counts.clone(), case);
+        relay.carries(handle, in_hand, counts.clone(), case);
     }
     answer
 }
@@ -35,30 +35,30 @@
 async fn decide(
     request: ClientRequest,
     began: Micros,
-    seat: &mut Seat,
-    desk: &Rc<Desk>,
+    handle: &mut RequestHandle,
+    dispatcher: &Rc<Dispatcher>,
     attempts: &Attempts,
     counts: &Counts,
 ) -> Answer {
     let request = Rc::new(request);
     let deadline = request.deadline(began);
-    seat.arrives(request.arrival(deadline));
+    handle.arrives(request.arrival(deadline));
     loop {
-        match seat.next(deadline).await {
+        match handle.next(deadline).await {
             Some(Step::Attempt { node, allow_for }) => {
-                seat.sends(&node);
-                desk.settles().await;
+                handle.sends(&node);
+                dispatcher.settles().await;
                 // Danger: a request that was read together with its client's end, or whose client left while it was held,
                 // would be sent on for nobody; the reader tells of that end only later.
                 if request.client.left() {
                     return Answer::Left;
                 }
-                let sent_at = desk.clock.now();
-                let fetch = desk.is_origin(&node);
+                let sent_at = dispatcher.clock.now();
+                let fetch = dispatcher.is_origin(&node);
                 let chosen_at = Instant::now();
                 let attempt = Attempt { request: request.clone(), node, allow_for, chosen_at };
                 let ended = attempts.clone().oneshot(attempt).await;
-                let wait = desk.clock.now() - sent_at;
+                let wait = dispatcher.clock.now() - sent_at;
                 // What the origin refused has cost it something, too.
                 let reached = ended.as_ref().err().is_none_or(|broken| !broken.ending().never_ran());
                 if fetch && reached {
@@ -69,7 +69,7 @@
                         if fetch && answered.ending == Ending::Full {
                             one_more(&counts.refused);
                         }
-                        seat.ended(answered.ending, wait, answered.first);
+                        handle.ended(answered.ending, wait, answered.first);
                         if answered.ending == Ending::Served {
                             return Answer::Served(answered.body);
                         }
@@ -82,7 +82,7 @@
                         if broken.cause == Cause::Left {
                             return Answer::Left;
                         }
-                        seat.ended(broken.ending(), wait, false);
+                        handle.ended(broken.ending(), wait, false);
                     }
                 }
             }
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -1,9 +1,9 @@
 //! The second address: what the operators' staff asks and says, one call to a connection.
 
-use crate::fleet::roster::{Refused, Roster};
+use crate::fleet::registry::{Refused, Registry};
 use crate::fleet::words::Words;
 use crate::process::shutdown::Shutdown;
-use crate::requests::desk::Desk;
+use crate::requests::dispatcher::Dispatcher;
 use crate::say;
 use crate::staff::counts::Counts;
 use crate::staff::rollout::Rollout;
@@ -34,8 +34,8 @@
 /// What the calls reach.
 pub struct Office {
     pub counts: Rc<Counts>,
-    pub desk: Rc<Desk>,
-    pub roster: Rc<Roster>,
+    pub dispatcher: Rc<Dispatcher>,
+    pub registry: Rc<Registry>,
     pub shutdown: Shutdown,
     /// Changes of settings, where the configuration says how.
     pub rollout: Option<Rc<Rollout>>,
@@ -129,7 +129,7 @@
             true => Ok((StatusCode::SERVICE_UNAVAILABLE, r#"{"ready":false}"#.into())),
         },
         "/api/telemetry" => {
-            let figures = office.counts.figures(office.roster.known(), office.desk.avoided());
+            let figures = office.counts.figures(office.registry.known(), office.dispatcher.avoided());
             let text = serde_json::to_string(&figures).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
             Ok((StatusCode::OK, text))
         }
@@ -139,7 +139,7 @@
             let who = named.ok().map(|named| named.who).filter(|who| !who.is_empty());
             let who = who.ok_or(StatusCode::BAD_REQUEST)?;
             let out = path == "/api/exclude";
-            let done = if out { office.roster.exclude(&who) } else { office.roster.include(&who) };
+            let done = if out { office.registry.exclude(&who) } else { office.registry.include(&who) };
             match done {
                 Ok(()) => Ok((StatusCode::OK, format!(r#"{{"out":{out}}}"#))),
                 Err(Refused::Unknown) => Err(StatusCode::NOT_FOUND),
--- a/crates/flintwell/src/staff/rollout.rs
+++ b/crates/flintwell/src/staff/rollout.rs
@@ -1,6 +1,6 @@
 //! Changes of settings, as they come to the second address: the words, the record on disk, the time that is up.
 
-use crate::fleet::roster::Roster;
+use crate::fleet::registry::Registry;
 use crate::process::clock::Clock;
 use crate::say;
 use crate::staff::counts::Counts;
@@ -29,7 +29,7 @@
     pub changed: Notify,
     /// Puts settings in force at one instant, in all parts.
     pub put: Box<dyn Fn(&Value)>,
-    pub roster: Rc<Roster>,
+    pub registry: Rc<Registry>,
 }
 
 /// What is said to a call: its status, and its JSON or why not.
@@ -63,7 +63,7 @@
         match what {
             "status" => self.told(),
             "settings" => serde_json::to_string(&self.member.borrow().in_force().settings).map_err(wrong),
-            "nodes" => serde_json::to_string(&self.roster.listing()).map_err(wrong),
+            "nodes" => serde_json::to_string(&self.registry.listing()).map_err(wrong),
             "figures" => {
                 let epoch = self.member.borrow().in_force().epoch;
                 serde_json::to_string(&self.counts.compared(epoch, self.started_ms)).map_err(wrong)
