--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -243,17 +243,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test]
-    async fn a_part_that_panics_starts_again() {
-        let mut starts = 0;
-        let work = async || {
-            starts += 1;
-            assert!(starts > 2, "as a test");
-        };
-        lasting("a part", work).await;
-        assert_eq!(starts, 3);
-    }
-}
+mod tests;
