The field's names in the remaining crates; keys on our own wires and records stay

Rollout, conduct, rig, stand-ins: request, attempt, served, refused, failed. Serde keeps the former keys; measures and tables printed name the new words. Tests that looked for a printed word follow it.

--- a/crates/flintwell-conduct/src/run.rs
+++ b/crates/flintwell-conduct/src/run.rs
@@ -100,7 +100,7 @@
     if wrong.is_empty() { Ok(Prepared { epoch, old, new }) } else { Err(wrong) }
 }
 
-/// Accesses and fetches a second of all members.
+/// Requests and fetches a second of all members.
 async fn traffic(members: &[(Place, SocketAddr)]) -> (f64, f64) {
     let look = || all::<Figures, _>(members, |at| async move { ask(at, "figures").await });
     let sum = |figures: Vec<Result<Figures, Failed>>| {
@@ -140,12 +140,12 @@
         }
     }
     let share = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
-    let (accesses, fetches) = traffic(&plan.members).await;
+    let (requests, fetches) = traffic(&plan.members).await;
     println!("keys that go to another cache first: {:.1} %", share * 100.0);
-    println!("now {accesses:.0} accesses a second, {fetches:.0} fetches");
+    println!("now {requests:.0} requests a second, {fetches:.0} fetches");
     for (n, &to) in plan.stages.iter().enumerate() {
         let part = to as f64 / plan.members.len() as f64;
-        let asked = fetches + accesses * part * share;
+        let asked = fetches + requests * part * share;
         println!("stage {}: at most {asked:.0} fetches a second until the moved keys are warm", n + 1);
     }
     println!("nothing was changed; `flintwell rollout start {}` begins", file.display());
@@ -285,7 +285,7 @@
 
 fn report(plan: &Plan, conductor: &Conductor) -> Report {
     let verdict = match conductor.verdict() {
-        Verdict::Quiet(judged) => format!("no sign of harm in {judged} accesses of the new"),
+        Verdict::Quiet(judged) => format!("no sign of harm in {judged} requests of the new"),
         Verdict::Worse(measure, by) => format!("the new are worse: {measure}, by {:.1} %", by * 100.0),
     };
     let standing = |(n, (place, _)): (usize, &(Place, SocketAddr))| {
--- a/crates/flintwell-rig/src/check.rs
+++ b/crates/flintwell-rig/src/check.rs
@@ -12,7 +12,7 @@
 const WAITED: f64 = 2_000.0; // ms; the same after the wait of a call, where that is later
 const COLD: f64 = 0.99; // share of its workers; under it a node is cold
 
-/// How a use case may be repeated, as far as the checker needs it.
+/// How a class may be repeated, as far as the checker needs it.
 #[derive(Clone, Debug)]
 pub struct Repeats {
     /// Anywhere, any time.
@@ -43,7 +43,7 @@
     pub grace_ms: f64,
     /// Within which a cold node falls if more comes than it bears.
     pub fall_s: f64,
-    /// Paths or processes that we stopped ourselves: accesses in these times may get no answer.
+    /// Paths or processes that we stopped ourselves: requests in these times may get no answer.
     pub excused: &'a [(String, f64, f64)],
 }
 
@@ -57,7 +57,7 @@
     breaches
 }
 
-/// Rule 1: one final answer before the outer limit.
+/// Rule 1: one final answer before the deadline.
 fn answers(evidence: &Evidence) -> Vec<Breach> {
     let excused = |seen: &Seen| {
         let end = seen.at_ms + seen.limit_ms + BREATH;
@@ -80,7 +80,7 @@
 fn effects(evidence: &Evidence) -> Vec<Breach> {
     let mut runs: HashMap<&str, Vec<&Took>> = HashMap::new();
     for took in evidence.took {
-        if matches!(took.did, Did::Honoured | Did::Error | Did::Nothing) {
+        if matches!(took.did, Did::Served | Did::Error | Did::Nothing) {
             runs.entry(&took.id).or_default().push(took);
         }
     }
@@ -100,7 +100,7 @@
         }
         let harmless = repeats.memory_ms.is_some();
         if matches!(seen.status, Some(429 | 503)) && !harmless {
-            let what = format!("{} turned back though it may have run", seen.id);
+            let what = format!("{} refused though it may have run", seen.id);
             breaches.push(Breach { rule: 2, at_ms: first, what });
         }
     }
@@ -178,7 +178,7 @@
             let bears = made.workers as f64 * took.warmth * 1e3 / made.time_ms * evidence.fall_s;
             if window.len() as f64 > bears + made.queue as f64 && told.insert((took.at_ms / 1e3) as u64) {
                 let what = format!(
-                    "{}: {} accesses in {} s, it bears {bears:.0}",
+                    "{}: {} requests in {} s, it bears {bears:.0}",
                     made.id,
                     window.len(),
                     evidence.fall_s
--- a/crates/flintwell-rig/src/check/tests.rs
+++ b/crates/flintwell-rig/src/check/tests.rs
@@ -30,13 +30,13 @@
         seen("told", "once", Some(503), 10.0),
     ];
     let mut all = vec![
-        took("twice", "a", 5.0, Did::Honoured, 1.0),
+        took("twice", "a", 5.0, Did::Served, 1.0),
         took("twice", "b", 6.0, Did::Error, 1.0),
-        took("again", "a", 5.0, Did::Honoured, 1.0),
-        took("again", "b", 6.0, Did::Honoured, 1.0),
+        took("again", "a", 5.0, Did::Served, 1.0),
+        took("again", "b", 6.0, Did::Served, 1.0),
         took("told", "a", 7.0, Did::Nothing, 1.0),
-        took("drained", "a", 2_000.0, Did::Honoured, 1.0),
-        took("drained", "a", 4_000.0, Did::Honoured, 1.0),
+        took("drained", "a", 2_000.0, Did::Served, 1.0),
+        took("drained", "a", 4_000.0, Did::Served, 1.0),
     ];
     all.extend((0..40).map(|n| took("cold", "b", 100.0 + f64::from(n), Did::Missed, 0.2)));
     let made = |id: &str| Made {
@@ -71,7 +71,7 @@
         excused: &[],
     });
     let found = |rule: u8, what: &str| breaches.iter().any(|one| one.rule == rule && one.what.contains(what));
-    assert!(found(1, "lost") && found(1, "late") && found(2, "twice ran") && found(2, "told turned back"));
+    assert!(found(1, "lost") && found(1, "late") && found(2, "twice ran") && found(2, "told refused"));
     assert!(found(3, "drained to a 1000 ms") && found(4, "b: 2"), "{breaches:#?}");
     assert_eq!(breaches.iter().filter(|one| one.rule != 4).count(), 5, "{breaches:#?}");
 }
--- a/crates/flintwell-rig/src/days.rs
+++ b/crates/flintwell-rig/src/days.rs
@@ -28,8 +28,10 @@
 pub struct Day {
     pub seed: u64,
     pub events: Vec<Event>,
-    pub accesses: usize,
-    pub honoured: usize,
+    #[serde(rename = "accesses")]
+    pub requests: usize,
+    #[serde(rename = "honoured")]
+    pub served: usize,
     pub breaches: Vec<crate::check::Breach>,
     /// From when all was well until each proxy knew all others, s; none if that was never so.
     pub whole_s: Option<f64>,
@@ -129,8 +131,8 @@
     Ok(Day {
         seed,
         events: plan.events,
-        accesses: seen.len(),
-        honoured: seen.iter().filter(|seen| seen.status == Some(200)).count(),
+        requests: seen.len(),
+        served: seen.iter().filter(|seen| seen.status == Some(200)).count(),
         breaches: fleet.breaches(),
         whole_s,
     })
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -151,7 +151,7 @@
 
 /// Room for descriptors, at once. Danger: the kernel grows a table of descriptors that threads share only after all cores
 /// have passed a quiet state (`synchronize_rcu` in `expand_files`), and whoever opens one meanwhile waits: on a busy
-/// machine a second, in which none of our nodes answered, and accesses in hand looked late.
+/// machine a second, in which none of our nodes answered, and requests in hand looked late.
 fn makes_room() {
     let limit = getrlimit(Resource::Nofile);
     let most = limit.maximum.map_or(DESCRIPTORS, |most| most.min(DESCRIPTORS));
@@ -352,7 +352,7 @@
         proxies.len()
     }
 
-    /// Accesses at this proxy between these times may be lost: we did that.
+    /// Requests at this proxy between these times may be lost: we did that.
     pub fn excuses(&mut self, n: usize, from_ms: f64, to_ms: f64) {
         self.excused.push((self.proxies[n].process.name.clone(), from_ms, to_ms));
     }
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -166,7 +166,7 @@
                     rolled.members,
                     rolled.took_s,
                     rolled.harmed_s,
-                    rolled.not_honoured,
+                    rolled.not_served,
                     rolled.lost,
                     rolled.why
                 );
@@ -178,7 +178,7 @@
                 (right, lost) = (right + u64::from(rolled.right()), lost + rolled.lost);
                 lines += &(serde_json::to_string(&rolled).map_err(|e| e.to_string())? + "\n");
             }
-            println!("{right} of {count} right, {lost} accesses lost");
+            println!("{right} of {count} right, {lost} requests lost");
             if let Some(out) = out {
                 std::fs::write(out, lines).map_err(|e| format!("{}: {e}", out.display()))?;
             }
@@ -192,9 +192,9 @@
                 let below = folder.path().join(seed.to_string());
                 let day = days::play(seed, &shape, &arguments.program, &below).await?;
                 let whole = day.whole_s.map_or("never".into(), |whole| format!("{whole:.1} s"));
-                let (all, well) = (day.accesses, day.honoured);
+                let (all, well) = (day.requests, day.served);
                 println!(
-                    "{seed:4}: {all} accesses, {well} honoured, {} breaches, whole {whole}",
+                    "{seed:4}: {all} requests, {well} served, {} breaches, whole {whole}",
                     day.breaches.len()
                 );
                 day.breaches.iter().take(3).for_each(|one| println!("    rule {}: {}", one.rule, one.what));
@@ -223,12 +223,12 @@
                 let below = folder.path().join(n.to_string());
                 let outcome = plan.run(&arguments.program, &below).await?;
                 kept += u64::from(outcome.breaches.is_empty());
-                let all: usize = outcome.seconds.iter().map(|second| second.accesses).sum();
-                let well: usize = outcome.seconds.iter().map(|second| second.honoured).sum();
+                let all: usize = outcome.seconds.iter().map(|second| second.requests).sum();
+                let well: usize = outcome.seconds.iter().map(|second| second.served).sum();
                 let fetched: usize = outcome.seconds.iter().map(|second| second.fetches).sum();
-                let refused: usize = outcome.seconds.iter().map(|second| second.refused).sum();
+                let refused: usize = outcome.seconds.iter().map(|second| second.origin_refused).sum();
                 println!(
-                    "seed {}: {all} accesses, {well} honoured, {refused} refused for {fetched} fetched, {} breaches",
+                    "seed {}: {all} requests, {well} served, {refused} refused for {fetched} fetched, {} breaches",
                     plan.seed,
                     outcome.breaches.len()
                 );
@@ -245,18 +245,18 @@
 }
 
 fn shows(outcome: &Outcome) {
-    println!("second accesses honoured turned-back broken-off unanswered hand-offs fetches refused");
+    println!("second requests served refused failed unanswered attempts fetches refused-there");
     for (n, one) in outcome.seconds.iter().enumerate() {
         println!(
             "{n:6} {:8} {:8} {:11} {:10} {:10} {:9} {:7} {:7}",
-            one.accesses,
-            one.honoured,
-            one.turned_back,
-            one.broken_off,
+            one.requests,
+            one.served,
+            one.refused,
+            one.failed,
             one.unanswered,
-            one.hand_offs,
+            one.attempts,
             one.fetches,
-            one.refused
+            one.origin_refused
         );
     }
     for breach in &outcome.breaches {
--- a/crates/flintwell-rig/src/plan.rs
+++ b/crates/flintwell-rig/src/plan.rs
@@ -76,17 +76,23 @@
     },
 }
 
-/// Accesses within one second of the run.
+/// Requests within one second of the run.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Second {
-    pub accesses: usize,
-    pub honoured: usize,
-    pub turned_back: usize,
-    pub broken_off: usize,
+    #[serde(rename = "accesses")]
+    pub requests: usize,
+    #[serde(rename = "honoured")]
+    pub served: usize,
+    #[serde(rename = "turned_back")]
+    pub refused: usize,
+    #[serde(rename = "broken_off")]
+    pub failed: usize,
     pub unanswered: usize,
-    pub hand_offs: usize,
+    #[serde(rename = "hand_offs")]
+    pub attempts: usize,
     pub fetches: usize,
-    pub refused: usize,
+    #[serde(rename = "refused")]
+    pub origin_refused: usize,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -209,20 +215,20 @@
     };
     for seen in fleet.book.all() {
         second(seen.at_ms, &|second| {
-            second.accesses += 1;
+            second.requests += 1;
             match seen.status {
-                Some(200) => second.honoured += 1,
-                Some(429 | 503) => second.turned_back += 1,
-                Some(_) => second.broken_off += 1,
+                Some(200) => second.served += 1,
+                Some(429 | 503) => second.refused += 1,
+                Some(_) => second.failed += 1,
                 None => second.unanswered += 1,
             }
         });
     }
     for took in fleet.world.took() {
         second(took.at_ms, &|second| {
-            second.hand_offs += 1;
-            second.fetches += usize::from(took.node == "origin" && took.did == Did::Honoured);
-            second.refused += usize::from(took.did == Did::TurnedAway);
+            second.attempts += 1;
+            second.fetches += usize::from(took.node == "origin" && took.did == Did::Served);
+            second.origin_refused += usize::from(took.did == Did::TurnedAway);
         });
     }
     seconds
--- a/crates/flintwell-rig/src/process.rs
+++ b/crates/flintwell-rig/src/process.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 const STARTS: Duration = Duration::from_secs(20); // a start on a busy machine
-const ENDS: Duration = Duration::from_secs(5); // after SIGTERM, past the longest outer limit
+const ENDS: Duration = Duration::from_secs(5); // after SIGTERM, past the longest deadline
 const LINES_MOST: usize = 10_000; // of a process's log that are kept
 
 pub struct Process {
--- a/crates/flintwell-rig/src/record.rs
+++ b/crates/flintwell-rig/src/record.rs
@@ -81,13 +81,13 @@
 pub fn sums(outcome: &Outcome) -> [(&'static str, usize); 8] {
     let of = |part: fn(&Second) -> usize| outcome.seconds.iter().map(part).sum();
     [
-        ("accesses", of(|second| second.accesses)),
-        ("honoured", of(|second| second.honoured)),
-        ("turned back", of(|second| second.turned_back)),
-        ("broken off", of(|second| second.broken_off)),
+        ("accesses", of(|second| second.requests)),
+        ("honoured", of(|second| second.served)),
+        ("turned back", of(|second| second.refused)),
+        ("broken off", of(|second| second.failed)),
         ("unanswered", of(|second| second.unanswered)),
-        ("hand-offs", of(|second| second.hand_offs)),
+        ("hand-offs", of(|second| second.attempts)),
         ("fetches", of(|second| second.fetches)),
-        ("refused", of(|second| second.refused)),
+        ("refused", of(|second| second.origin_refused)),
     ]
 }
--- a/crates/flintwell-rig/src/rollouts.rs
+++ b/crates/flintwell-rig/src/rollouts.rs
@@ -121,11 +121,13 @@
     pub took_s: f64,
     /// From when the first member had it until none had, where it was undone.
     pub harmed_s: f64,
-    pub accesses: usize,
+    #[serde(rename = "accesses")]
+    pub requests: usize,
     /// Without an answer in their time, not excused by a kill or pause of ours.
     pub lost: usize,
-    /// The share of accesses not honoured while any member had the change.
-    pub not_honoured: f64,
+    /// The share of requests not served while any member had the change.
+    #[serde(rename = "not_honoured")]
+    pub not_served: f64,
     pub breaches: Vec<Breach>,
 }
 
@@ -217,9 +219,9 @@
         members,
         took_s,
         harmed_s: span.map_or(0.0, |(from, to)| (to - from) / 1e3),
-        accesses: seen.len(),
+        requests: seen.len(),
         lost: breaches.iter().filter(|breach| breach.rule == 1).count(),
-        not_honoured: not as f64 / during.len().max(1) as f64,
+        not_served: not as f64 / during.len().max(1) as f64,
         breaches,
     })
 }
--- a/crates/flintwell-rollout/src/conductor.rs
+++ b/crates/flintwell-rollout/src/conductor.rs
@@ -10,7 +10,7 @@
 
 const RECENT: u64 = 3_000; // ms; over which the old ones' losses are looked at, some steps of a second each
 const TIMES: u64 = 5_000; // ms; a spell of the old ones' times, of which the last two count
-const RECENT_LEAST: u64 = 60; // accesses within it; under that a share says nothing
+const RECENT_LEAST: u64 = 60; // requests within it; under that a share says nothing
 const SHOWN: u32 = 2; // recoveries at which harm that meets all counts as the change's doing
 const RECOVERED: f64 = 0.5; // of the limit at which both count as worse; under it they are well again
 const LATE: u64 = 2_000; // ms past its time after which a member that is not heard has gone back for sure
@@ -47,8 +47,8 @@
     pub settle: u64,
     /// At least so long is each stage judged.
     pub watch: u64,
-    /// Accesses of the new that each stage is judged by at least, where there are old ones beside.
-    pub accesses: u64,
+    /// Requests of the new that each stage is judged by at least, where there are old ones beside.
+    pub requests: u64,
     /// A change stays so long without our word.
     pub within: u64,
     /// A member not heard for so long is unheard.
@@ -346,7 +346,7 @@
                 // Bounds are alike, or it would not have been read.
                 let _ = passed.map(|passed| self.old_times[0].add(&passed));
                 let lost = sample.lost.values().map(|one| one.0).sum();
-                self.recent.push((now, lost, sample.accesses));
+                self.recent.push((now, lost, sample.requests));
             }
             heard.delta = Some((ours, sample));
         }
@@ -545,8 +545,8 @@
         let beside = wanted < self.members.len();
         match self.judge.verdict() {
             _ if now < since + self.rules.watch => {}
-            Verdict::Quiet(judged) if beside && judged < self.rules.accesses => {
-                self.hold = Some(format!("too few accesses of the new: {judged} of {}", self.rules.accesses));
+            Verdict::Quiet(judged) if beside && judged < self.rules.requests => {
+                self.hold = Some(format!("too few requests of the new: {judged} of {}", self.rules.requests));
             }
             _ if self.journal.stages < self.stages.len() => {
                 if short.is_some() {
@@ -631,7 +631,7 @@
     slow_from: Option<[u64; SLOW_AT.len()]>,
 ) -> Sample {
     let mut sample = Sample {
-        hand_offs: new.hand_offs.saturating_sub(last.hand_offs),
+        attempts: new.attempts.saturating_sub(last.attempts),
         fetches: new.fetches.saturating_sub(last.fetches),
         slow: slow_from.zip(passed).map_or([0; SLOW_AT.len()], |(from, passed)| {
             from.map(|from| passed.len() - passed.count_between(0, from).min(passed.len()))
@@ -641,9 +641,9 @@
     for (case, ends) in &new.cases {
         let before = last.cases.get(case).copied().unwrap_or_default();
         let all = ends.all().saturating_sub(before.all());
-        let honoured = ends.honoured.saturating_sub(before.honoured);
-        sample.accesses += all;
-        sample.lost.insert(case.clone(), (all.saturating_sub(honoured), all));
+        let served = ends.served.saturating_sub(before.served);
+        sample.requests += all;
+        sample.lost.insert(case.clone(), (all.saturating_sub(served), all));
     }
     sample
 }
--- a/crates/flintwell-rollout/src/judge.rs
+++ b/crates/flintwell-rollout/src/judge.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-const LEAST: u64 = 25; // accesses on either side of a block; under it a share is a throw of the dice
-const LEAST_CASE: u64 = 3; // the same of one use case, which may be rare; its differences are not cut off, so few will do
+const LEAST: u64 = 25; // requests on either side of a block; under it a share is a throw of the dice
+const LEAST_CASE: u64 = 3; // the same of one class, which may be rare; its differences are not cut off, so few will do
 const CLIP: f64 = 3.0; // times the loss to be found; what a block may weigh at most, so that one burst decides nothing
 const MARGIN: f64 = 0.25; // of the loss; what the new may be worse by at no cost
 const STAKE_MOST: f64 = 0.8; // of what would lose all on one block
@@ -19,30 +19,32 @@
 /// the quick ones shows in the middle only.
 pub const SLOW_AT: [f64; 4] = [0.5, 0.8, 0.95, TAIL];
 const TAIL: f64 = 0.99; // of the old ones' times; judged in blocks of its own, since a block of 25 holds none of it
-const LEAST_TAIL: u64 = 200; // accesses on either side of such a block: two are slower than the tail on the mean
+const LEAST_TAIL: u64 = 200; // requests on either side of such a block: two are slower than the tail on the mean
 const SLOW_TAIL: f64 = 3.0; // of a loss; a tail that twice as many fall into has one more of a hundred in it, and is found
-const HAND_OFFS: f64 = 0.1; // of a loss; an access's hand-offs count so much, since one more in ten is much
+const HAND_OFFS: f64 = 0.1; // of a loss; a request's attempts count so much, since one more in ten is much
 const FETCHES: f64 = 0.1; // the same for its fetches
-const SLOW: f64 = 0.2; // the same for its being slow; twice as many over a 95th percentile are 5 % of accesses
+const SLOW: f64 = 0.2; // the same for its being slow; twice as many over a 95th percentile are 5 % of requests
 
-const MEASURES: usize = 3 + SLOW_AT.len(); // of all accesses; one more for each use case
+const MEASURES: usize = 3 + SLOW_AT.len(); // of all requests; one more for each class
 
 /// What a group of proxies counted within some time.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Sample {
-    pub accesses: u64,
-    /// Turned back or broken off, by use case, and how many there were.
+    #[serde(rename = "accesses")]
+    pub requests: u64,
+    /// Turned back or failed, by class, and how many there were.
     pub lost: BTreeMap<String, (u64, u64)>,
-    pub hand_offs: u64,
+    #[serde(rename = "hand_offs")]
+    pub attempts: u64,
     pub fetches: u64,
-    /// Accesses slower than each of the limits that the judge tells.
+    /// Requests slower than each of the limits that the judge tells.
     pub slow: [u64; SLOW_AT.len()],
 }
 
 impl Sample {
     pub fn add(&mut self, other: &Sample) {
-        self.accesses += other.accesses;
-        self.hand_offs += other.hand_offs;
+        self.requests += other.requests;
+        self.attempts += other.attempts;
         self.fetches += other.fetches;
         self.slow.iter_mut().zip(other.slow).for_each(|(sum, slow)| *sum += slow);
         for (case, (lost, all)) in &other.lost {
@@ -50,7 +52,7 @@
             *sum = (sum.0 + lost, sum.1 + all);
         }
     }
-    /// The share of accesses that were not honoured.
+    /// The share of requests that were not served.
     pub fn lost_share(&self) -> f64 {
         let (lost, all) = self.lost.values().fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
         share(lost, all)
@@ -70,7 +72,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limits {
-    /// The share of accesses lost that has to be found.
+    /// The share of requests lost that has to be found.
     pub loss: f64,
     /// Of stopping a rollout that is no worse, in all its stages.
     pub chance: f64,
@@ -108,7 +110,7 @@
 /// What the judge says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
-    /// No sign of harm, after so many accesses of the new ones.
+    /// No sign of harm, after so many requests of the new ones.
     Quiet(u64),
     /// By which measure, and by how much on the mean.
     Worse(String, f64),
@@ -120,9 +122,9 @@
     limits: Limits,
     /// Not judged yet: blocks that are still too small, by zone.
     open: BTreeMap<String, Pair>,
-    /// The same of each use case: lost and all, of the new and the old.
+    /// The same of each class: lost and all, of the new and the old.
     open_cases: BTreeMap<String, BTreeMap<String, [(u64, u64); 2]>>,
-    /// The same of accesses slower than the tail's limit, by zone.
+    /// The same of requests slower than the tail's limit, by zone.
     open_tail: BTreeMap<String, [(u64, u64); 2]>,
     bets: BTreeMap<String, Bet>,
     /// What the groups differed by before anything was changed.
@@ -172,31 +174,31 @@
         let open = self.open.entry(zone.into()).or_default();
         open.new.add(&pair.new);
         open.old.add(&pair.old);
-        if open.new.accesses < LEAST || open.old.accesses < LEAST {
+        if open.new.requests < LEAST || open.old.requests < LEAST {
             return None;
         }
         let Pair { new, old } = std::mem::take(open);
         let scaled = |scale: f64, part: &dyn Fn(&Sample) -> u64| {
-            scale * (share(part(&new), new.accesses) - share(part(&old), old.accesses))
+            scale * (share(part(&new), new.requests) - share(part(&old), old.requests))
         };
         let mut measures = vec![
-            ("lost accesses".to_owned(), new.lost_share() - old.lost_share()),
-            ("hand-offs an access".to_owned(), scaled(HAND_OFFS, &|sample| sample.hand_offs)),
+            ("lost requests".to_owned(), new.lost_share() - old.lost_share()),
+            ("attempts a request".to_owned(), scaled(HAND_OFFS, &|sample| sample.attempts)),
             ("fetches an access".to_owned(), scaled(FETCHES, &|sample| sample.fetches)),
         ];
         for (n, quantile) in SLOW_AT.iter().enumerate().filter(|one| *one.1 < TAIL) {
-            let name = format!("accesses slower than {:.0} % of the old", quantile * 100.0);
+            let name = format!("requests slower than {:.0} % of the old", quantile * 100.0);
             measures.push((name, scaled(SLOW, &|sample| sample.slow[n])));
         }
-        Some((new.accesses, measures))
+        Some((new.requests, measures))
     }
 
     /// New and old in one zone since the last call.
     pub fn takes(&mut self, zone: &str, pair: &Pair) {
         let Limits { loss, chance, stages } = self.limits;
         let mut measures: Vec<(String, f64, f64)> = Vec::new();
-        if let Some((accesses, block)) = self.block(zone, pair) {
-            self.judged += accesses;
+        if let Some((requests, block)) = self.block(zone, pair) {
+            self.judged += requests;
             measures.extend(block.into_iter().map(|(name, difference)| (name, difference, CLIP * loss)));
         }
         let cases = self.cases(zone, pair);
@@ -214,7 +216,7 @@
         }
     }
 
-    /// A use case of its own may be harmed and hardly show among all, above all a rare one. Its blocks are small, and
+    /// A class of its own may be harmed and hardly show among all, above all a rare one. Its blocks are small, and
     /// lopsided then: cut off on both sides alike they would lean to one, so they count as they are.
     fn cases(&mut self, zone: &str, pair: &Pair) -> Vec<(String, f64)> {
         let mut measures = Vec::new();
@@ -227,7 +229,7 @@
             if open.iter().all(|one| one.1 >= LEAST_CASE) {
                 let [new, old] = std::mem::take(open);
                 let difference = share(new.0, new.1) - share(old.0, old.1);
-                measures.push((format!("lost accesses of {case}"), difference));
+                measures.push((format!("lost requests of {case}"), difference));
             }
         }
         measures
@@ -237,14 +239,14 @@
     fn tail(&mut self, zone: &str, pair: &Pair) -> Option<(String, f64)> {
         let open = self.open_tail.entry(zone.into()).or_default();
         for (open, more) in open.iter_mut().zip([&pair.new, &pair.old]) {
-            *open = (open.0 + more.slow[SLOW_AT.len() - 1], open.1 + more.accesses);
+            *open = (open.0 + more.slow[SLOW_AT.len() - 1], open.1 + more.requests);
         }
         if open.iter().any(|one| one.1 < LEAST_TAIL) {
             return None;
         }
         let [new, old] = std::mem::take(open);
         let difference = SLOW_TAIL * (share(new.0, new.1) - share(old.0, old.1));
-        Some((format!("accesses slower than {:.0} % of the old", TAIL * 100.0), difference))
+        Some((format!("requests slower than {:.0} % of the old", TAIL * 100.0), difference))
     }
 
     /// The next stage: what was seen counts no more, what the groups differed by before does.
--- a/crates/flintwell-rollout/src/judge/tests.rs
+++ b/crates/flintwell-rollout/src/judge/tests.rs
@@ -5,24 +5,24 @@
 
 const LIMITS: Limits = Limits { loss: 0.02, chance: 0.01, stages: 3 };
 
-/// Accesses of one second: of two use cases, one of them rare, lost at this rate.
-fn second(rng: &mut ChaCha8Rng, accesses: u64, lost: f64, rare: f64, fetches: f64) -> Sample {
+/// Requests of one second: of two classes, one of them rare, lost at this rate.
+fn second(rng: &mut ChaCha8Rng, requests: u64, lost: f64, rare: f64, fetches: f64) -> Sample {
     let mut of = |all: u64, rate: f64| Binomial::new(all, rate).expect("a rate").sample(rng);
-    let writes = accesses / 5;
-    let reads = accesses - writes;
+    let writes = requests / 5;
+    let reads = requests - writes;
     Sample {
-        accesses,
+        requests,
         lost: BTreeMap::from([
             ("read".into(), (of(reads, lost), reads)),
             ("write".into(), (of(writes, rare), writes)),
         ]),
-        hand_offs: accesses + of(accesses, 0.2),
-        fetches: of(accesses, fetches),
-        slow: [of(accesses, 0.5), of(accesses, 0.2), of(accesses, 0.05), of(accesses, 0.01)],
+        attempts: requests + of(requests, 0.2),
+        fetches: of(requests, fetches),
+        slow: [of(requests, 0.5), of(requests, 0.2), of(requests, 0.05), of(requests, 0.01)],
     }
 }
 
-/// After how many accesses of the new the judge stops, within three minutes of 150 a second; none if it does not.
+/// After how many requests of the new the judge stops, within three minutes of 150 a second; none if it does not.
 fn stops(seed: u64, mut play: impl FnMut(&mut ChaCha8Rng, u64) -> Pair) -> Option<u64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut judge = Judge::new(LIMITS);
@@ -40,22 +40,22 @@
 }
 
 #[test]
-fn two_in_a_hundred_lost_are_found_within_a_stated_number_of_accesses() {
+fn two_in_a_hundred_lost_are_found_within_a_stated_number_of_requests() {
     let (found, most) = count(200, |rng, _| Pair {
         new: second(rng, 150, 0.03, 0.03, 0.1),
         old: second(rng, 1_000, 0.01, 0.01, 0.1),
     });
     assert!(found == 200 && most <= 10_000, "{found} of 200, 19 of 20 within {most}");
-    // Of one use case only, a fifth of all accesses.
+    // Of one class only, a fifth of all requests.
     let (found, most) = count(200, |rng, _| Pair {
         new: second(rng, 150, 0.0, 0.1, 0.1),
         old: second(rng, 1_000, 0.0, 0.0, 0.1),
     });
     assert!(found == 200 && most <= 10_000, "{found} of 200, 19 of 20 within {most}");
-    // All of a use case that one in fifty is of: 20 lost in 1,000 accesses.
-    let rare = |rng: &mut ChaCha8Rng, accesses: u64, lost: f64| {
-        let mut sample = second(rng, accesses, 0.0, 0.0, 0.1);
-        let few = Binomial::new(accesses, 0.02).expect("a rate").sample(rng);
+    // All of a class that one in fifty is of: 20 lost in 1,000 requests.
+    let rare = |rng: &mut ChaCha8Rng, requests: u64, lost: f64| {
+        let mut sample = second(rng, requests, 0.0, 0.0, 0.1);
+        let few = Binomial::new(requests, 0.02).expect("a rate").sample(rng);
         sample.lost.insert("once".into(), ((few as f64 * lost) as u64, few));
         sample
     };
@@ -98,7 +98,7 @@
         };
         // What fails is slow before it does.
         for side in [&mut pair.new, &mut pair.old] {
-            side.slow[3] = Binomial::new(side.accesses, base / 2.0).expect("a rate").sample(rng);
+            side.slow[3] = Binomial::new(side.requests, base / 2.0).expect("a rate").sample(rng);
         }
         pair
     };
@@ -132,7 +132,7 @@
 }
 
 #[test]
-fn zones_are_not_mixed_and_too_few_accesses_say_nothing() {
+fn zones_are_not_mixed_and_too_few_requests_say_nothing() {
     // The new are mostly in a zone that fails, the old mostly in one that does not.
     let mut judge = Judge::new(LIMITS);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/crates/flintwell-rollout/src/plan.rs
+++ b/crates/flintwell-rollout/src/plan.rs
@@ -7,16 +7,16 @@
 use toml::de::{DeTable, DeValue};
 
 const MEMBERS_MOST: usize = 4_096; // proxies; far above any fleet
-const LOSS: f64 = 0.02; // of accesses; what has to be found where the plan says nothing
+const LOSS: f64 = 0.02; // of requests; what has to be found where the plan says nothing
 const CHANCE: f64 = 0.01; // of stopping a good change, a rollout
 const OBSERVE: f64 = 5.0; // s
 const SETTLE: f64 = 1.0; // s; connections and joins of the old settings end within it
 const WATCH: f64 = 20.0; // s
-const ACCESSES: f64 = 10_000.0; // accesses; within them two in a hundred lost are found 19 times of 20
+const ACCESSES: f64 = 10_000.0; // requests; within them two in a hundred lost are found 19 times of 20
 const WITHIN: f64 = 15.0; // s; several rounds of words, and a restart of the one who rolls out
 const UNHEARD: f64 = 3.0; // s
 const DOUBT: f64 = 15.0; // s
-const BOTH: f64 = 0.05; // of accesses
+const BOTH: f64 = 0.05; // of requests
 const MEMORY: f64 = 1.5; // times
 
 /// A key with its least and most, and what holds where it is not given.
@@ -278,7 +278,7 @@
         let zones: BTreeSet<&str> = places.iter().map(|place| &*place.zone).collect();
         let stages = reader.stages(plan, members.len(), zones.len());
         let [observe, settle, watch, within, unheard, doubt] = reader.numbers(plan, "times", &TIMES);
-        let [loss, chance, accesses, both, memory] = reader.numbers(plan, "limits", &LIMITS);
+        let [loss, chance, requests, both, memory] = reader.numbers(plan, "limits", &LIMITS);
         if unheard >= within {
             let at = plan.get("times").map_or(0, |value| value.span().start);
             reader.says(
@@ -303,7 +303,7 @@
                 observe: ms(observe),
                 settle: ms(settle),
                 watch: ms(watch),
-                accesses: accesses as u64,
+                requests: requests as u64,
                 within: ms(within),
                 unheard: ms(unheard),
                 doubt: ms(doubt),
--- a/crates/flintwell-rollout/src/wire.rs
+++ b/crates/flintwell-rollout/src/wire.rs
@@ -10,8 +10,8 @@
 use std::collections::BTreeMap;
 
 pub const PROTOCOL: u32 = 1; // raised when a message changes its meaning; each version takes the one before too
-pub const MESSAGE_MOST: usize = 262_144; // bytes; whole settings of hundreds of use cases
-const LONGEST: u64 = 600_000_000; // us; past any outer limit, longer times count as this
+pub const MESSAGE_MOST: usize = 262_144; // bytes; whole settings of hundreds of classes
+const LONGEST: u64 = 600_000_000; // us; past any deadline, longer times count as this
 const DIGITS: u8 = 2; // significant digits of a time; 1 % is finer than any limit of a plan
 
 /// A name for the content of settings: the same on every machine, since keys are sorted.
@@ -75,17 +75,20 @@
     pub again: Option<(u64, usize)>,
 }
 
-/// Ends of accesses of one use case since the process began.
+/// Ends of requests of one class since the process began.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
 pub struct Ends {
-    pub honoured: u64,
-    pub turned_back: u64,
-    pub broken_off: u64,
+    #[serde(rename = "honoured")]
+    pub served: u64,
+    #[serde(rename = "turned_back")]
+    pub refused: u64,
+    #[serde(rename = "broken_off")]
+    pub failed: u64,
 }
 
 impl Ends {
     pub fn all(&self) -> u64 {
-        self.honoured + self.turned_back + self.broken_off
+        self.served + self.refused + self.failed
     }
 }
 
@@ -95,14 +98,15 @@
     pub epoch: u64,
     pub started_ms: u64,
     pub cases: BTreeMap<String, Ends>,
-    pub hand_offs: u64,
-    /// Hand-offs to the origin.
+    #[serde(rename = "hand_offs")]
+    pub attempts: u64,
+    /// Attempts to the origin.
     pub fetches: u64,
     /// Of those, turned away by it; one before this was counted tells none.
     #[serde(default)]
     pub refused: u64,
     pub memory_kb: u64,
-    /// Microseconds from an access's last byte to its answer: an HDR histogram, V2, in base 64.
+    /// Microseconds from a request's last byte to its answer: an HDR histogram, V2, in base 64.
     pub times: String,
 }
 
--- a/crates/flintwell-rollout/tests/fleet.rs
+++ b/crates/flintwell-rollout/tests/fleet.rs
@@ -11,20 +11,20 @@
 use std::collections::BTreeMap;
 
 const TURN: u64 = 250; // ms a round
-const RATE: u64 = 15; // accesses a member and round
+const RATE: u64 = 15; // requests a member and round
 const EPOCH: u64 = 1;
 const KILLED: u64 = 1_000; // rounds; then whoever rolls out lives, and has to come to an end
 
 /// What the change does, and what happens beside it.
 #[derive(Clone, Copy, Default)]
 struct Day {
-    /// Lost of a hundred accesses of those that have the change, beside one of all.
+    /// Lost of a hundred requests of those that have the change, beside one of all.
     harm: f64,
     /// Lost by all, old and new, once so many members have it.
     together: Option<usize>,
     /// Ends so long after it got the change, ms.
     crash: Option<u64>,
-    /// Fetches an access more.
+    /// Fetches a request more.
     fetches: f64,
     /// Words lost.
     loss: f64,
@@ -34,14 +34,14 @@
     recalls: bool,
     /// The chance, a round, that some member is killed.
     member_kills: f64,
-    /// From and until when all lose a third of their accesses, ms.
+    /// From and until when all lose a third of their requests, ms.
     fault: Option<(u64, u64)>,
-    /// What a fresh process fetches more an access for its first ten seconds; and whether old ones begin anew beside.
+    /// What a fresh process fetches more a request for its first ten seconds; and whether old ones begin anew beside.
     learns: f64,
     controls: bool,
     /// kB a second that those with the change take more.
     leaks: u64,
-    /// Fetches that the origin takes a round, where it has a limit; and fetches an access that one with the change adds
+    /// Fetches that the origin takes a round, where it has a limit; and fetches a request that one with the change adds
     /// for its first five seconds, as its moved keys are cold.
     room: Option<u64>,
     moves: f64,
@@ -82,7 +82,7 @@
         observe: 3_000,
         settle: 500,
         watch: 8_000,
-        accesses: 5_000,
+        requests: 5_000,
         within: 6_000,
         unheard: 2_000,
         doubt: 5_000,
@@ -162,12 +162,8 @@
                 0.1 + if new { day.fetches } else { 0.0 } + if fresh { day.learns } else { 0.0 } + moved;
             let figures = &mut one.figures;
             let ends = figures.cases.entry("read".into()).or_default();
-            *ends = Ends {
-                honoured: ends.honoured + RATE - lost,
-                turned_back: ends.turned_back + lost,
-                broken_off: 0,
-            };
-            figures.hand_offs += RATE;
+            *ends = Ends { served: ends.served + RATE - lost, refused: ends.refused + lost, failed: 0 };
+            figures.attempts += RATE;
             let fetches = Binomial::new(RATE, fetches).expect("a rate").sample(&mut rng);
             figures.fetches += fetches;
             asked += fetches;
@@ -370,7 +366,7 @@
     }
 }
 
-/// 24 members ask for 36 fetches a round; each that changes adds half an access' worth of fetches for five seconds.
+/// 24 members ask for 36 fetches a round; each that changes adds half a request' worth of fetches for five seconds.
 #[test]
 fn a_change_that_moves_homes_goes_at_the_pace_of_the_origins_room() {
     for seed in 0..10 {
--- a/crates/flintwell-shared-probes/src/lib.rs
+++ b/crates/flintwell-shared-probes/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A hint weighs, it is no fact: only first-hand words are told on, a node is held silent by the fleet when some others
 //! found it so by themselves, and who has not found it silent itself acts on no hint at all. So one that lies, or is cut
-//! off itself, empties no node that is well; and word that a node is back brings one access of each, not its traffic.
+//! off itself, empties no node that is well; and word that a node is back brings one request of each, not its traffic.
 
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -77,7 +77,7 @@
 pub enum Hint {
     /// Left alone for so many ms: others try it.
     Leave(u64),
-    /// Tried by the next access: it answered another.
+    /// Tried by the next request: it answered another.
     Try,
 }
 
--- a/crates/flintwell-standins/src/clients.rs
+++ b/crates/flintwell-standins/src/clients.rs
@@ -1,5 +1,5 @@
-//! Clients of one proxy: accesses in an open loop, at a seeded Poisson rate, so that a slow proxy gets no fewer. Some
-//! come again when they are turned back, after the advice.
+//! Clients of one proxy: requests in an open loop, at a seeded Poisson rate, so that a slow proxy gets no fewer. Some
+//! come again when they are refused, after the advice.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -16,15 +16,15 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout};
 
-const SLACK: Duration = Duration::from_millis(500); // after an access's limit in which an answer still counts as one
+const SLACK: Duration = Duration::from_millis(500); // after a request's limit in which an answer still counts as one
 const DIAL: Duration = Duration::from_millis(500); // for a connection to the proxy
 
-/// A use case as clients ask for it.
+/// A class as clients ask for it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Case {
     pub name: String,
-    /// Of all accesses, beside the other cases' shares.
+    /// Of all requests, beside the other cases' shares.
     pub share: f64,
     pub write: bool,
     pub limit_s: f64,
@@ -33,19 +33,19 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
-    /// Accesses a second at each proxy.
+    /// Requests a second at each proxy.
     pub rate: f64,
     pub keys: u64,
     /// How uneven keys are: the exponent of their Zipf law; 0 for even.
     pub skew: f64,
     /// The share of reads that ask for a key nobody asked for before.
     pub new_keys: f64,
-    /// How often one that is turned back comes again.
+    /// How often one that is refused comes again.
     pub again: u32,
     pub cases: Vec<Case>,
 }
 
-/// One access as its client saw it; times in ms since the world began.
+/// One request as its client saw it; times in ms since the world began.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Seen {
     pub id: String,
@@ -92,7 +92,7 @@
         Clients { proxy: proxy.into(), addr, began, load, book, idle: Arc::default() }
     }
 
-    /// Comes until `until`, then waits for what is out. The same seed, the same accesses.
+    /// Comes until `until`, then waits for what is out. The same seed, the same requests.
     pub async fn run(self, seed: u64, until: Instant) {
         let mut chance = ChaCha8Rng::seed_from_u64(seed);
         let load = self.load.clone();
@@ -117,14 +117,14 @@
             let key = if new { format!("new-{id}") } else { format!("k{known}") };
             sleep_until(at.into()).await;
             out.push(tokio::spawn(self.clone().comes(id, key, case.clone())));
-            out.retain(|access| !access.is_finished());
+            out.retain(|request| !request.is_finished());
         }
-        for access in out {
-            let _ = access.await;
+        for request in out {
+            let _ = request.await;
         }
     }
 
-    /// One access, and its further ones if it is turned back.
+    /// One request, and its further ones if it is refused.
     async fn comes(self, id: String, key: String, case: Case) {
         for again in 0..=self.load.again {
             let id = if again == 0 { id.clone() } else { format!("{id}-again{again}") };
@@ -158,7 +158,7 @@
         seen
     }
 
-    /// On an idle connection, and once more on a new one if the proxy closed that between two accesses.
+    /// On an idle connection, and once more on a new one if the proxy closed that between two requests.
     async fn exchange(&self, id: &str, key: &str, case: &Case) -> Option<(u16, f64)> {
         let mut idle = loop {
             let kept = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
--- a/crates/flintwell-standins/src/nodes.rs
+++ b/crates/flintwell-standins/src/nodes.rs
@@ -90,7 +90,7 @@
     *open = open.saturating_sub(1);
 }
 
-/// A worker's place at a node, given back however the access ends.
+/// A worker's place at a node, given back however the request ends.
 struct Busy(World, usize);
 
 impl Drop for Busy {
@@ -142,7 +142,7 @@
         note(Did::Nothing);
         sleep(SILENCE).await;
     }
-    // Whoever came before it goes first: their number over the workers, in times of one access.
+    // Whoever came before it goes first: their number over the workers, in times of one request.
     let waits = ((turn as f64 / workers).ceil() - 1.0).max(0.0);
     sleep(Duration::from_secs_f64(time * (1.0 + waits) / 1e3)).await;
     if matches!(fault, Fault::Errors(share) if lot < share) {
@@ -157,7 +157,7 @@
             read(&mut inner, place, &id, &key)
         }
     };
-    note(if value.is_some() { Did::Honoured } else { Did::Missed });
+    note(if value.is_some() { Did::Served } else { Did::Missed });
     let (code, body) = value.map_or((StatusCode::NOT_FOUND, Bytes::new()), |value| (StatusCode::OK, value));
     Ok(status(code, body))
 }
@@ -170,7 +170,7 @@
     kept
 }
 
-/// The origin's value; what caches missed for this access is stored there, and a write drops all copies.
+/// The origin's value; what caches missed for this request is stored there, and a write drops all copies.
 fn fetch(
     inner: &mut crate::world::Inner,
     place: usize,
--- a/crates/flintwell-standins/src/world.rs
+++ b/crates/flintwell-standins/src/world.rs
@@ -18,7 +18,7 @@
     pub kind: String,
     #[serde(default)]
     pub cell: u32,
-    /// How many accesses it works on at once, how many wait, and how long each takes.
+    /// How many requests it works on at once, how many wait, and how long each takes.
     pub workers: usize,
     pub queue: usize,
     pub time_ms: f64,
@@ -65,18 +65,19 @@
     }
 }
 
-/// What a node did with an access that reached it whole.
+/// What a node did with a request that reached it whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Did {
-    Honoured,
+    #[serde(rename = "honoured")]
+    Served,
     Missed,
     TurnedAway,
     Error,
     Nothing,
 }
 
-/// One access at one node.
+/// One request at one node.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Took {
     /// Since the world's start, when its last byte had come.
@@ -141,7 +142,7 @@
     pub calls: Vec<Called>,
     /// How long discovery takes for a call, one after another.
     pub call_time: Duration,
-    /// The caches that missed for an access, by its id, until the origin answers it.
+    /// The caches that missed for a request, by its id, until the origin answers it.
     pub missed: HashMap<String, Vec<usize>>,
 }
 
--- a/crates/flintwell/src/staff/counts.rs
+++ b/crates/flintwell/src/staff/counts.rs
@@ -129,16 +129,16 @@
     /// The same for whoever compares proxies.
     pub fn compared(&self, epoch: u64, started_ms: u64) -> wire::Figures {
         let ends = |ended: &Ended| wire::Ends {
-            honoured: ended.served.get(),
-            turned_back: ended.refused.get(),
-            broken_off: ended.failed.get(),
+            served: ended.served.get(),
+            refused: ended.refused.get(),
+            failed: ended.failed.get(),
         };
         let cases = self.cases.borrow();
         wire::Figures {
             epoch,
             started_ms,
             cases: cases.iter().map(|(case, ended)| (case.clone(), ends(ended))).collect(),
-            hand_offs: self.attempts.get(),
+            attempts: self.attempts.get(),
             fetches: self.fetches.get(),
             refused: self.refused.get(),
             memory_kb: memory_kb().unwrap_or(0),
--- a/crates/flintwell/tests/process/plans.rs
+++ b/crates/flintwell/tests/process/plans.rs
@@ -19,7 +19,7 @@
 fn kills_pauses_one_way_cuts_and_a_drain_break_no_rule() {
     let outcome = played("kills-and-cuts.toml");
     let (all, served) =
-        outcome.seconds.iter().fold((0, 0), |sum, one| (sum.0 + one.accesses, sum.1 + one.honoured));
+        outcome.seconds.iter().fold((0, 0), |sum, one| (sum.0 + one.requests, sum.1 + one.served));
     assert!(all > 1_000 && served * 10 > all * 8, "{served} of {all}");
 }
 
@@ -27,8 +27,8 @@
 fn a_zone_that_is_silent_and_comes_back_cold_breaks_no_rule() {
     let outcome = played("zone-silent.toml");
     let after: Vec<_> = outcome.seconds[14..19].iter().collect();
-    let served: usize = after.iter().map(|one| one.honoured).sum();
-    let all: usize = after.iter().map(|one| one.accesses).sum();
+    let served: usize = after.iter().map(|one| one.served).sum();
+    let all: usize = after.iter().map(|one| one.requests).sum();
     assert!(served * 100 > all * 95, "{served} of {all} once it is back");
 }
 
@@ -37,7 +37,7 @@
     let (asked, pushed) = ("watches-silent-asked.toml", "watches-silent-pushed.toml");
     let plays = [asked, pushed].map(|plan| std::thread::spawn(|| played(plan)));
     for outcome in plays.map(|play| play.join().expect("no rule broken")) {
-        let all: usize = outcome.seconds.iter().map(|one| one.accesses).sum();
+        let all: usize = outcome.seconds.iter().map(|one| one.requests).sum();
         assert!(all > 2_000, "{all}");
     }
 }
--- a/crates/flintwell/tests/process/supervise.rs
+++ b/crates/flintwell/tests/process/supervise.rs
@@ -96,7 +96,7 @@
         trap 'kill -CONT $P; kill $P; wait $P; exit 0' TERM\nsleep 1\n\
         while kill -0 $PPID && kill -STOP $P; do sleep 0.06; kill -CONT $P; sleep 0.12; done";
     let (code, said) = rolled(&mut stand, "stalls", does);
-    assert!(code == 1 && said.contains("accesses slower than"), "{said}");
+    assert!(code == 1 && said.contains("requests slower than"), "{said}");
     assert_eq!(stand.epochs(), [0; 3]);
 }
 
--- a/crates/flintwell/tests/process/words.rs
+++ b/crates/flintwell/tests/process/words.rs
@@ -135,6 +135,6 @@
         let day = runtime.block_on(days::play(seed, &shape(), Path::new(PROGRAM), folder.path()));
         let day = day.expect("it was played");
         assert!(day.breaches.is_empty() && day.whole_s.is_some(), "seed {seed}: {day:#?}");
-        assert!(day.honoured * 10 > day.accesses * 7, "seed {seed}: {} of {}", day.honoured, day.accesses);
+        assert!(day.served * 10 > day.requests * 7, "seed {seed}: {} of {}", day.served, day.requests);
     }
 }
