--- a/crates/flintwell-core/src/state/tests.rs
+++ b/crates/flintwell-core/src/state/tests.rs
@@ -15,3 +15,22 @@
     }
     assert!(nodes.len() <= 5 && nodes.by_id.len() == nodes.len(), "{} of 200", nodes.len());
 }
+
+/// What the table of 8,192 slots makes of many caches of one size: every one has a part, and how far parts differ.
+#[test]
+fn every_cache_has_slots_up_to_a_few_hundred_and_parts_differ_more_beyond() {
+    for (caches, without, spread) in [(16, 0, 0.06), (200, 0, 0.16), (300, 0, 0.18), (1_024, 4, 0.36)] {
+        let table = Slots::new(8_192, (0..caches).map(|n| (n, hash(&format!("server-{n}")), 32)));
+        let mut parts = vec![0.0_f64; caches];
+        table.holders.iter().filter(|n| **n != u16::MAX).for_each(|n| parts[usize::from(*n)] += 1.0);
+        let mean = parts.iter().sum::<f64>() / caches as f64;
+        let off = parts.iter().map(|part| (part / mean - 1.0).powi(2)).sum::<f64>() / caches as f64;
+        let none = parts.iter().filter(|part| **part == 0.0).count();
+        let most = parts.iter().fold(0.0_f64, |most, part| most.max(*part)) / mean;
+        println!(
+            "{caches} caches: {none} without, standard deviation {:.2}, the most {most:.2} times the mean",
+            off.sqrt()
+        );
+        assert!(none <= without && off.sqrt() < spread, "{caches}: {none} without, {:.2}", off.sqrt());
+    }
+}
