--- a/crates/flintwell/src/clients/accept.rs
+++ b/crates/flintwell/src/clients/accept.rs
@@ -247,6 +247,8 @@
             let _ = socket.set_linger(Some(Duration::ZERO));
             return;
         }
+        // Danger: one that ends already would be chosen to make room, in place of another that could.
+        self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
         // Where its last answer was written long ago, or none was, there is nothing to lose, and its place is wanted.
         let lately = self.answered_at.get().is_some_and(|at| at.elapsed() < ARRIVES);
         let many = self.clients.lingering.get() >= LINGER_MOST;
