--- a/crates/flintwell-rig/src/days.rs
+++ b/crates/flintwell-rig/src/days.rs
@@ -35,6 +35,8 @@
     pub breaches: Vec<crate::check::Breach>,
     /// From when all was well until each proxy knew all others, s; none if that was never so.
     pub whole_s: Option<f64>,
+    /// Where it was never so: what each proxy said of the fleet at the end.
+    pub apart: Vec<String>,
 }
 
 /// What goes wrong on this day, and when it is over.
@@ -127,6 +129,13 @@
             sleep(LOOK).await;
         }
     }
+    let mut apart = Vec::new();
+    if whole_s.is_none() {
+        for (n, proxy) in fleet.proxies.iter().enumerate() {
+            let told = knows(proxy.staff).await.map_or("no answer".to_owned(), |told| told.to_string());
+            apart.push(format!("n{n} at {}: {told}", proxy.staff));
+        }
+    }
     let seen = fleet.book.all();
     Ok(Day {
         seed,
@@ -135,6 +144,7 @@
         served: seen.iter().filter(|seen| seen.status == Some(200)).count(),
         breaches: fleet.breaches(),
         whole_s,
+        apart,
     })
 }
 
