The descriptors' limit is asked once; what a connection was heard with last is a request

Read once more: serve() caps the sockets by the system's limit, and makes_room asked for the same limit again; the cap before it serves both. Nothing is done otherwise.

--- a/crates/flintwell/src/clients/accept.rs
+++ b/crates/flintwell/src/clients/accept.rs
@@ -70,7 +70,7 @@
     Nothing,
     /// A head that has not ended.
     Part,
-    ClientRequest,
+    Request,
 }
 
 /// What has come on an idle connection, when it may be closed, and its turn.
@@ -141,7 +141,7 @@
                 let due = all.find(|p| p.1 <= now && (full || p.0 == Heard::Nothing && p.1 + SILENT <= now));
                 // Danger: where each request comes on a connection of its own, to wait for the few new ones
                 // that have said nothing yet would leave the rest in the backlog past their time.
-                let silent = idle.keys().take_while(|place| place.0 != Heard::ClientRequest).count();
+                let silent = idle.keys().take_while(|place| place.0 != Heard::Request).count();
                 let used =
                     idle.keys().nth(silent).filter(|_| (idle.len() - silent) * USED_SHARE >= self.open.get());
                 let longest = due.or(used).copied();
@@ -363,7 +363,7 @@
         if self.client.answered.take() {
             self.client.long.take();
             self.client.answered_at.set(Some(Instant::now()));
-            self.client.idles(Heard::ClientRequest, USED);
+            self.client.idles(Heard::Request, USED);
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
--- a/crates/flintwell/src/clients/accept/tests.rs
+++ b/crates/flintwell/src/clients/accept/tests.rs
@@ -11,5 +11,5 @@
     drop(Answering { content, client: answered });
     assert!(client.idle.get().is_none(), "in the connection's hands");
     poll_fn(|cx| Pin::new(&mut listened).poll_flush(cx)).await.expect("written");
-    assert!(client.idle.get().is_some_and(|place| place.0 == Heard::ClientRequest));
+    assert!(client.idle.get().is_some_and(|place| place.0 == Heard::Request));
 }
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -61,8 +61,7 @@
 /// log has one) only after all cores have passed a quiet state; meanwhile our one core opens nothing and stands still, on a
 /// busy machine for a second, and those of a fleet that starts as one all at the same number of connections.
 fn makes_room(sockets: usize) {
-    let limit = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
-    let most = limit.min(sockets as u64).min(DESCRIPTORS_MOST);
+    let most = (sockets as u64).min(DESCRIPTORS_MOST);
     // Where that is barred, the table grows as it did.
     let _ = fcntl_dupfd_cloexec(std::io::stderr(), most as i32 - 1);
 }
