--- a/crates/flintwell/src/clients/accept.rs
+++ b/crates/flintwell/src/clients/accept.rs
@@ -92,6 +92,8 @@
     answered: Cell<bool>,
     /// When all of its last answer was written.
     answered_at: Cell<Option<Instant>>,
+    /// Closed so that another may come in.
+    makes_room: Cell<bool>,
     stream: Rc<TcpStream>,
     /// The long answer that is on its way to it, and a word when one is.
     long: RefCell<Option<Rc<Way>>>,
@@ -115,6 +117,7 @@
             full: Cell::default(),
             answered: Cell::default(),
             answered_at: Cell::default(),
+            makes_room: Cell::default(),
             stream: Rc::new(stream),
             long: RefCell::default(),
             begins: Notify::new(),
@@ -249,8 +252,10 @@
         }
         // Danger: one that ends already would be chosen to make room, in place of another that could.
         self.idle.take().map(|place| self.clients.idle.borrow_mut().remove(&place));
-        // Where its last answer was written long ago, or none was, there is nothing to lose, and its place is wanted.
-        let lately = self.answered_at.get().is_some_and(|at| at.elapsed() < ARRIVES);
+        // Where its last answer was written long ago, or none was, there is nothing to lose. Danger: one closed to make room
+        // would hold its place for as long as it lingers.
+        let lately =
+            !self.makes_room.get() && self.answered_at.get().is_some_and(|at| at.elapsed() < ARRIVES);
         let many = self.clients.lingering.get() >= LINGER_MOST;
         if socket.shutdown(Shutdown::Write).is_err() || !lately || many {
             return;
@@ -487,7 +492,7 @@
             () = client.reads_ahead() => {}
             () = client.head_overdue() => return,
             () = client.stands_still() => return,
-            () = client.close.notified() => {}
+            () = client.close.notified() => client.makes_room.set(true),
             successor = handed.as_mut() => return leave(connection, &client, &successor).await,
             () = idle_closed => {
                 // Danger: a head that comes slowly is cut off by a stop, though its request could be answered.
