--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -86,7 +86,7 @@
                     }
                 }
                 Err(broken) => {
-                    let at = self.broken(dispatcher, broken);
+                    let at = self.broken(dispatcher, broken, asked.elapsed());
                     // Where it has moved to, nothing has failed yet.
                     if let Ok(Ok(())) = timeout_at(dispatcher.clock.instant(at), moves.changed()).await {
                         self.calls.moved(dispatcher.clock.now());
@@ -104,12 +104,21 @@
         self.calls.answered(dispatcher.clock.now());
     }
 
-    fn broken(&mut self, dispatcher: &Dispatcher, (broken, silent): (Broken, bool)) -> Micros {
+    fn broken(
+        &mut self,
+        dispatcher: &Dispatcher,
+        (broken, silent): (Broken, bool),
+        took: Duration,
+    ) -> Micros {
         self.link = None;
         self.failed += 1;
-        // An outage is two lines, however often it is asked meanwhile.
-        if self.failed == 1 {
-            say!("discovery: {broken}");
+        // An outage is few lines, however often discovery is called meanwhile.
+        if self.failed.is_power_of_two() {
+            say!(
+                "discovery: {broken}, after {:.3} s; failed call {} in a row",
+                took.as_secs_f64(),
+                self.failed
+            );
         }
         self.calls.failed(dispatcher.clock.now(), silent)
     }
