Failing test: 32 proxies before a discovery whose queue is full send past the grace

Real processes on loopback; a new call takes discovery 0.25 s and is refused where it would wait over 1 s.

--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod handover;
 mod operations;
+mod overload;
 mod plans;
 mod rare;
 mod rollout;
