A call let in by a full discovery is waited for; the list is a lease; calls of a fleet come in slots

Cause: patience for an answer shrank with the list's age to 0.8 s, below the 1 s that a full discovery's queue takes. From then on every call that discovery let in was given up before its answer, and its whole capacity went to callers who had left (metastable failure). And nothing that sends asked how old the list is. Patience no longer falls below 2 s but for the one call just after a silent watch; calls whose time is up stay open, four at most; failures have kinds; fleets call in slots by their numbers, in frames that grow with the time for which calls fail. A list is acted on for 6 s from an answer; a discovery that can't be reached renews it, a refusal in doubt once. nodes/permission.rs is the one place that says whether a request may be sent now, counts what broke it (GET /api/violations) and looks at the lease. Faults of our own system are not held against servers.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -71,7 +71,8 @@
 const COLD_ROOM: f64 = 1.5; // times the share that caches take, where cold ones get first choices only
 const COLD_MARGIN: f64 = 1.2; // times its part that a cold node may get of ours; it takes twice that
 const LIST_SPREAD: Micros = 30_000; // us a proxy; over which the first calls for the list come
-const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most; none need be refused
+const LIST_FIRST: f64 = 0.8; // of the time to ask within, over which they come at most
+const LIST_FIRST_MOST: Micros = 5_800_000; // us; the same: a change counts as told 6 s after discovery had it
 const LIST_RETRY: Micros = 700_000; // us; first wait after a failed call for the list
 const LIST_RETRY_MOST: u32 = 2; // doublings of that wait; a change counts as told 6 s after it could be
 const STAY_AWAY: Micros = 500_000; // us; advice with a refusal: about a queue's drain time
@@ -107,7 +108,7 @@
     pub fn start(now: Micros, settings: Settings, seed: u64, host: H) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         // Danger: a fleet that starts as one asks as one; each call late in the queue fails, and comes again.
-        let most = (settings.ask_within as f64 * LIST_FIRST) as Micros;
+        let most = ((settings.ask_within as f64 * LIST_FIRST) as Micros).min(LIST_FIRST_MOST);
         let spread = rng.random_range(0..=most.min(LIST_SPREAD * i64::from(settings.fleet_size)));
         let shortest = shortest_target(&settings);
         let times = Times { mean: shortest * FIRST_SHARE, deviation: shortest * FIRST_SHARE / 2.0 };
--- a/crates/flintwell-list-watch/tests/fleet.rs
+++ b/crates/flintwell-list-watch/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet in virtual time whose watches all fall silent at once, before a discovery that takes calls in turn.
 
-use flintwell_list_watch::{Figures, Micros, TOLD, Watch};
+use flintwell_list_watch::{Failure, Figures, Micros, TOLD, Watch};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
@@ -24,7 +24,13 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let (mut busy_until, mut calls, mut late, mut down_from) = (0, 0, 0, Micros::MAX);
     let mut watches: Vec<Watch> = (0..fleet)
-        .map(|n| Watch::new(0, Figures { pushed, fleet, grace: GRACE }, seed << 16 | u64::from(n)))
+        .map(|n| {
+            Watch::new(
+                0,
+                Figures { pushed, fleet, index: n, grace: GRACE, hold: 0 },
+                seed << 16 | u64::from(n),
+            )
+        })
         .collect();
     // When each calls next, by time, and whether it goes on with a watch; which calls are lost; until when it may not know.
     let mut due: BTreeSet<(Micros, usize, bool)> =
@@ -41,24 +47,24 @@
         if knows[n].is_none() && now < SILENT && now + call.wait > SILENT {
             knows[n] = Some(false);
             let ends = now + call.within;
-            assert_eq!(watch.failed(ends, true), ends, "at once");
+            assert_eq!(watch.failed(ends, Failure::Silent), ends, "at once");
             due.insert((ends, n, false));
             continue;
         }
         if lost[n] < trouble.silent && knows[n] == Some(false) {
             lost[n] += 1;
-            due.insert((watch.failed(now + call.within, true).max(now + 1), n, false));
+            due.insert((watch.failed(now + call.within, Failure::Silent).max(now + 1), n, false));
             continue;
         }
         down_from = down_from.min(if knows[n].is_some() { now } else { Micros::MAX });
         if now >= down_from && now < down_from + trouble.down {
-            due.insert((watch.failed(now, false).max(now + 1_000), n, false));
+            due.insert((watch.failed(now, Failure::Refused).max(now + 1_000), n, false));
             continue;
         }
         // Its turn.
         busy_until = now.max(busy_until) + if goes_on { each / GOES_ON } else { each };
         if busy_until - now > call.within {
-            due.insert((watch.failed(now + call.within, true).max(now + 1), n, false));
+            due.insert((watch.failed(now + call.within, Failure::Silent).max(now + 1), n, false));
             continue;
         }
         let news = knows[n] == Some(false) && busy_until > CHANGE;
@@ -110,13 +116,15 @@
 
 #[test]
 fn where_lists_are_pushed_a_proxy_asks_within_the_grace_and_else_a_fleet_spreads_its_calls() {
-    let watch = |pushed, fleet, grace, seed| Watch::new(0, Figures { pushed, fleet, grace }, seed);
+    let watch = |pushed, fleet, grace, seed: u64| {
+        Watch::new(0, Figures { pushed, fleet, index: seed as u32, grace, hold: 0 }, seed)
+    };
     // A reset that meets all at once: as many calls in each tenth of the round, and the last one soon enough.
     let ends: Vec<Micros> = (0..350)
         .map(|n| {
             let mut asked = watch(false, 350, GRACE, n);
             asked.call(0, false);
-            asked.failed(S, false) - S
+            asked.failed(S, Failure::Broken) - S
         })
         .collect();
     let most = ends.iter().max().expect("some");
@@ -128,10 +136,10 @@
     for grace in [0, GRACE] {
         let mut pushed = watch(true, 350, grace, 1);
         pushed.call(0, false);
-        assert_eq!(pushed.failed(S, false), S, "once at once");
+        assert_eq!(pushed.failed(S, Failure::Broken), S, "once at once");
         for n in 1..1_000 {
             pushed.call(S + n, false);
-            let at = pushed.failed(S + n, false);
+            let at = pushed.failed(S + n, Failure::Broken);
             let most = (GRACE / 2).min(grace.max(20_000));
             assert!((10_000..=most).contains(&(at - S - n)), "{} us", at - S - n);
         }
@@ -140,14 +148,14 @@
 
 #[test]
 fn after_a_silence_calls_wait_for_nothing_until_one_is_answered() {
-    let mut watch = Watch::new(0, Figures { pushed: false, fleet: 350, grace: 0 }, 1);
+    let mut watch = Watch::new(0, Figures { pushed: false, fleet: 350, index: 0, grace: 0, hold: 0 }, 1);
     let first = watch.call(0, false);
     assert!(first.wait >= 2 * S && first.within < first.wait + S);
-    watch.failed(first.within, true);
+    watch.failed(first.within, Failure::Silent);
     for n in 0..20 {
         let call = watch.call(first.within + n * S, false);
         assert!(call.wait <= 1_000 && call.within <= 2 * S);
-        watch.failed(first.within + n * S, false);
+        watch.failed(first.within + n * S, Failure::Refused);
     }
     watch.answered(59 * S);
     assert!(watch.call(60 * S, false).wait >= 2 * S);
@@ -170,7 +178,8 @@
         for fleet in [1, 6, 30, 350, 1_024] {
             for seed in 0..200 {
                 let mut rng = ChaCha8Rng::seed_from_u64(seed);
-                let mut watch = Watch::new(0, Figures { pushed, fleet, grace: 0 }, seed);
+                let mut watch =
+                    Watch::new(0, Figures { pushed, fleet, index: seed as u32, grace: 0, hold: 0 }, seed);
                 let (mut now, mut sure, mut faults) = (0, 0, Vec::<Micros>::new());
                 // It is down for some time: refuses, or says nothing at all.
                 let down = rng.random_range(10 * S..30 * S);
@@ -207,11 +216,12 @@
                         }
                         Fate::Ends(after) => {
                             faults.push(now);
-                            now = watch.failed(now + after, false).max(now + 1_000);
+                            let failure = if rng.random() { Failure::Refused } else { Failure::Broken };
+                            now = watch.failed(now + after, failure).max(now + 1_000);
                         }
                         Fate::Silent => {
                             faults.push(now);
-                            now = watch.failed(now + call.within, true).max(now + 1_000);
+                            now = watch.failed(now + call.within, Failure::Silent).max(now + 1_000);
                         }
                     }
                 }
--- /dev/null
+++ b/crates/flintwell-list-watch/tests/lease.rs
@@ -0,0 +1,113 @@
+//! Until when a list may be acted on, and which failures say that discovery could not be reached.
+
+use flintwell_list_watch::{Failure, Figures, Micros, TOLD, Watch};
+
+const S: Micros = 1_000_000; // us in a second
+
+fn watch(pushed: bool) -> Watch {
+    Watch::new(100 * S, Figures { pushed, fleet: 300, index: 7, grace: S / 3, hold: 0 }, 1)
+}
+
+#[test]
+fn a_list_is_acted_on_for_as_long_as_what_it_may_lack_does_not_count() {
+    for pushed in [false, true] {
+        let mut watch = watch(pushed);
+        assert!(watch.lease().holds(100 * S + TOLD - 1) && !watch.lease().holds(100 * S + TOLD));
+        watch.call(101 * S, false);
+        watch.answered(103 * S);
+        assert_eq!(watch.lease().ends_at(), 103 * S + TOLD);
+        // Read late, after a standstill: it may have been written when it was asked for.
+        watch.call(104 * S, false);
+        watch.answered(90 * S);
+        assert_eq!(watch.lease().ends_at(), 104 * S + TOLD);
+    }
+}
+
+#[test]
+fn only_a_discovery_that_could_not_be_reached_renews_a_lease_by_a_failure() {
+    let mut watch = watch(false);
+    let ends = watch.lease().ends_at();
+    for failure in [Failure::Local, Failure::Refused, Failure::Broken, Failure::Silent] {
+        watch.call(102 * S, false);
+        watch.failed(102 * S + 50_000, failure);
+        assert_eq!(watch.lease().ends_at(), ends, "{failure:?}");
+    }
+    // From when the try began: discovery may have come back while it lasted.
+    watch.connects(102 * S + 1);
+    watch.failed(103 * S, Failure::Unreachable);
+    assert_eq!(watch.lease().ends_at(), 102 * S + 1 + TOLD);
+}
+
+#[test]
+fn the_list_of_the_start_holds_longer_until_a_call_fails() {
+    let figures = Figures { pushed: false, fleet: 300, index: 7, grace: 0, hold: 10 * S };
+    let started = Watch::new(100 * S, figures, 1);
+    assert_eq!(started.lease().ends_at(), 110 * S);
+    for failure in [Failure::Refused, Failure::Broken, Failure::Silent] {
+        let mut watch = Watch::new(100 * S, figures, 1);
+        watch.call(102 * S, false);
+        watch.failed(102 * S + 1, failure);
+        assert_eq!(watch.lease().ends_at(), 100 * S + TOLD, "{failure:?}");
+    }
+    let mut answered = Watch::new(100 * S, figures, 1);
+    answered.call(100 * S, false);
+    answered.answered(101 * S);
+    answered.call(101 * S, false);
+    answered.failed(104 * S, Failure::Silent);
+    assert!(answered.lease().holds(101 * S + TOLD - 1));
+}
+
+#[test]
+fn a_short_outage_behind_a_balancer_stops_nothing_and_a_long_one_or_a_refusal_at_once_does() {
+    let mut outage = watch(false);
+    let began = outage.lease();
+    for second in 1..100 {
+        outage.call((100 + second) * S, false);
+        outage.failed((101 + second) * S, Failure::Refused);
+    }
+    assert_eq!(outage.lease().ends_at(), began.ends_at() + TOLD, "however often it refused");
+    // There, and with too many callers: what it has counts, whatever it says later.
+    let mut overload = watch(false);
+    overload.call(101 * S, false);
+    overload.failed(101 * S + 20_000, Failure::Refused);
+    for second in 2..10 {
+        overload.call((100 + second) * S, false);
+        overload.failed((101 + second) * S, Failure::Refused);
+    }
+    assert_eq!(overload.lease(), began);
+}
+
+#[test]
+fn a_fault_of_our_own_system_is_tried_again_soon_and_is_no_sign_of_load() {
+    let mut watch = watch(false);
+    for n in 0..1_000 {
+        let now = 100 * S + n * S / 10;
+        let again = watch.failed(now, Failure::Local) - now;
+        assert!((10_000..=100_000).contains(&again), "{again} us");
+    }
+    // The next call is one after no failure at all.
+    assert!(watch.call(201 * S, false).wait > S);
+}
+
+#[test]
+fn an_outage_however_long_is_noticed_soon_and_its_end_does_not_bring_all_at_once() {
+    let mut ends = Vec::new();
+    for index in 0..300 {
+        let mut watch =
+            Watch::new(0, Figures { pushed: false, fleet: 300, index, grace: 0, hold: 0 }, u64::from(index));
+        let mut now = 0;
+        while now < 600 * S {
+            watch.connects(now);
+            let again = watch.failed(now, Failure::Unreachable);
+            assert!((1..=400_000).contains(&(again - now)), "{} us", again - now);
+            now = again;
+        }
+        ends.push(watch.connected(now));
+    }
+    let first = ends.iter().min().expect("some");
+    for second in 0..3 {
+        let calls = ends.iter().filter(|&&at| (at - first) / S == second).count();
+        assert!(calls <= 150, "{calls} calls in second {second}");
+    }
+    assert!(ends.iter().all(|at| at - first < 4 * S));
+}
--- a/crates/flintwell/src/clients/framing.rs
+++ b/crates/flintwell/src/clients/framing.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
+use std::time::Instant;
 
 const HEAD_MOST: usize = 65_536; // bytes of a head that are kept; longer ones are refused before
 
@@ -168,10 +169,15 @@
     headed: bool,
     /// Nothing more is read.
     pub halted: bool,
+    /// When its first byte was read.
+    pub begun_at: Option<Instant>,
 }
 
 impl Answers {
     pub fn read(&mut self, mut bytes: &[u8]) {
+        if !bytes.is_empty() {
+            self.begun_at.get_or_insert_with(Instant::now);
+        }
         while !self.headed && !bytes.is_empty() {
             self.head.push(bytes[0]);
             bytes = &bytes[1..];
--- a/crates/flintwell/src/clients/presence.rs
+++ b/crates/flintwell/src/clients/presence.rs
@@ -25,9 +25,13 @@
         if ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed())) {
             return true;
         }
-        match SockRef::from(&**stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(bytes) => bytes == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        loop {
+            match SockRef::from(&**stream).peek(&mut [MaybeUninit::uninit()]) {
+                Ok(bytes) => return bytes == 0,
+                // A signal came between: nothing is said of the client.
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return error.kind() != io::ErrorKind::WouldBlock,
+            }
         }
     }
 }
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -1,38 +1,56 @@
-//! Calls discovery for the list of nodes, decodes what it tells, and passes it on. When each call is due and how long it
-//! may take is decided by `flintwell-list-watch` and, where the list has to be asked for, by the module.
+//! Keeps the list of nodes: calls discovery, decodes what it tells, and passes it on. When each call is due, how long it may
+//! take and for how long the list may be acted on is decided by `flintwell-list-watch`; where the list has to be asked for,
+//! the module says when it is first needed.
 
-use crate::clients::body::Outgoing;
+use crate::fleet::calls::{Answer, CallError, CallNumber, Calls, Ended};
+use crate::fleet::lease::ListLease;
 use crate::fleet::registry::Registry;
-use crate::nodes::link::{Broken, Came, Cause, Link, Most, Progress};
-use crate::process::clock::span;
+use crate::nodes::link::{Broken, Cause, Link, Stage};
 use crate::requests::dispatcher::Dispatcher;
 use crate::say;
-use bytes::Bytes;
 use flintwell_core::interface::{ListKind, Micros};
-use flintwell_list_watch::{Call, Watch};
+use flintwell_list_watch::Watch;
 use flintwell_settings::listing::Listing;
-use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 use tokio::sync::{Notify, watch};
-use tokio::time::{sleep, timeout, timeout_at};
+use tokio::time::sleep_until;
 
-const DIAL: Duration = Duration::from_millis(500); // for a connection to come up; far above any way there
-const PACE: Duration = Duration::from_millis(100); // between empty answers; well under what ends a watch
-const LIST_MOST: u64 = 4 << 20; // bytes; a list of ten thousand nodes
+const PACE: Micros = 100_000; // us; between empty answers; well under what ends a watch
+
+/// What the current call waits for.
+enum Phase {
+    /// The next call is due then.
+    Pausing(Micros),
+    /// For a connection.
+    Connecting,
+    /// For its slot among those of the fleet, on a connection that is up.
+    Connected(Link, Micros),
+    /// For the answer, until then.
+    Calling(CallNumber, Micros),
+}
+
+/// What ends a phase.
+enum Event {
+    Moved,
+    Ended(Ended),
+    Due,
+}
 
 pub struct Discovery {
-    /// Where it is, as the configuration has it now, and where we asked last.
+    /// Where it is, as the configuration has it now.
     addr: watch::Receiver<SocketAddr>,
-    asked_at: SocketAddr,
     registry: Rc<Registry>,
+    lease: Rc<ListLease>,
     /// The module asks for the list first; else it is watched from the start.
     wanted: Option<Rc<Notify>>,
-    calls: Watch,
+    watch: Watch,
+    calls: Calls,
     /// Of the list last had; none from where we ask now.
     version: Option<u64>,
+    /// When the current call was made.
+    called_at: Micros,
+    /// The connection of the last answer.
     link: Option<Link>,
     /// Calls in a row that failed.
     failed: u64,
@@ -42,11 +60,23 @@
     pub fn new(
         addr: watch::Receiver<SocketAddr>,
         registry: Rc<Registry>,
+        lease: Rc<ListLease>,
         wanted: Option<Rc<Notify>>,
-        calls: Watch,
+        watch: Watch,
+        calls: Calls,
     ) -> Self {
-        let asked_at = *addr.borrow();
-        Discovery { addr, asked_at, registry, wanted, calls, version: None, link: None, failed: 0 }
+        Discovery {
+            addr,
+            registry,
+            lease,
+            wanted,
+            watch,
+            calls,
+            version: None,
+            called_at: 0,
+            link: None,
+            failed: 0,
+        }
     }
 
     /// The list as it was last had.
@@ -57,131 +87,178 @@
     /// Calls from when the module first asks for the list, for good: each next call is due when `flintwell-list-watch` says.
     pub async fn watch(&mut self, dispatcher: &Dispatcher) {
         let mut moves = self.addr.clone();
-        // Started again after a panic, there is nothing to wait for.
-        if let Some(wanted) = self.wanted.take() {
-            tokio::select! {
-                () = wanted.notified() => {}
-                // What it has to tell there counts as told within seconds.
-                Ok(()) = moves.changed() => self.calls.moved(dispatcher.clock.now()),
-            }
-        }
+        // Started again after a panic, nothing of before is waited for.
+        self.calls.give_up();
+        self.link = None;
+        let mut phase = self.first_phase(dispatcher, &mut moves).await;
         loop {
-            let asked = Instant::now();
-            let called = tokio::select! {
-                called = self.call(dispatcher) => called,
+            phase = match self.next_event(dispatcher, &mut moves, &phase).await {
                 // Danger: the old discovery would keep us waiting for what only the new one tells.
-                Ok(()) = moves.changed() => {
-                    self.calls.moved(dispatcher.clock.now());
-                    continue;
-                }
+                Event::Moved => self.moved(dispatcher),
+                Event::Ended(ended) => self.ended(dispatcher, phase, ended),
+                Event::Due => self.due(dispatcher, phase),
             };
-            match called {
-                Ok(listing) => {
-                    self.answered(dispatcher);
-                    let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
-                    self.tell(&listing, kind);
-                    if listing.is_empty() && asked.elapsed() < PACE {
-                        // Danger: a watch that does not wait would be asked without a pause.
-                        sleep(PACE).await;
-                    }
-                }
-                Err(broken) => {
-                    let at = self.broken(dispatcher, broken, asked.elapsed());
-                    // Where it has moved to, nothing has failed yet.
-                    if let Ok(Ok(())) = timeout_at(dispatcher.clock.instant(at), moves.changed()).await {
-                        self.calls.moved(dispatcher.clock.now());
-                    }
-                }
-            }
         }
     }
 
-    fn answered(&mut self, dispatcher: &Dispatcher) {
-        if self.failed > 1 {
-            say!("discovery: answers again, after {} calls that failed", self.failed);
+    async fn first_phase(
+        &mut self,
+        dispatcher: &Dispatcher,
+        moves: &mut watch::Receiver<SocketAddr>,
+    ) -> Phase {
+        let Some(wanted) = self.wanted.take() else { return self.pauses_for_slot(dispatcher) };
+        tokio::select! {
+            () = wanted.notified() => Phase::Pausing(self.watch.first(dispatcher.clock.now())),
+            // What it has to tell there counts as told within seconds.
+            Ok(()) = moves.changed() => self.moved(dispatcher),
         }
-        self.failed = 0;
-        self.calls.answered(dispatcher.clock.now());
     }
 
-    fn broken(
+    fn pauses_for_slot(&self, dispatcher: &Dispatcher) -> Phase {
+        Phase::Pausing(self.watch.slot(dispatcher.clock.now()))
+    }
+
+    async fn next_event(
         &mut self,
         dispatcher: &Dispatcher,
-        (broken, silent): (Broken, bool),
-        took: Duration,
-    ) -> Micros {
+        moves: &mut watch::Receiver<SocketAddr>,
+        phase: &Phase,
+    ) -> Event {
+        let due = async {
+            match phase {
+                Phase::Pausing(at) | Phase::Connected(_, at) | Phase::Calling(_, at) => {
+                    sleep_until(dispatcher.clock.instant(*at)).await;
+                }
+                Phase::Connecting => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            Ok(()) = moves.changed() => Event::Moved,
+            // Danger: after a standstill of ours an answer that has come would count as late.
+            ended = self.calls.ended() => Event::Ended(ended),
+            () = due => Event::Due,
+        }
+    }
+
+    fn moved(&mut self, dispatcher: &Dispatcher) -> Phase {
+        // Danger: one discovery's versions may say nothing to another; the whole list is asked for.
+        self.version = None;
         self.link = None;
-        self.failed += 1;
-        // An outage is few lines, however often discovery is called meanwhile.
-        if self.failed.is_power_of_two() {
-            say!(
-                "discovery: {broken}, after {:.3} s; failed call {} in a row",
-                took.as_secs_f64(),
-                self.failed
-            );
+        self.calls.give_up();
+        self.watch.moved(dispatcher.clock.now());
+        self.lease.set(self.watch.lease());
+        self.pauses_for_slot(dispatcher)
+    }
+
+    /// The time of a phase is up.
+    fn due(&mut self, dispatcher: &Dispatcher, phase: Phase) -> Phase {
+        let now = dispatcher.clock.now();
+        match phase {
+            Phase::Pausing(_) | Phase::Connecting => {
+                self.watch.connects(now);
+                let addr = *self.addr.borrow();
+                self.calls.connect(addr, self.link.take());
+                Phase::Connecting
+            }
+            Phase::Connected(link, _) => self.call(dispatcher, link),
+            Phase::Calling(..) => {
+                let broken = Broken { stage: Stage::Written, cause: Cause::TimedOut };
+                self.failed(dispatcher, &CallError::silent(broken))
+            }
         }
-        self.calls.failed(dispatcher.clock.now(), silent)
     }
 
-    fn tell(&mut self, listing: &Listing, kind: ListKind) {
-        self.version = Some(listing.version);
-        self.registry.take(listing, kind);
+    fn ended(&mut self, dispatcher: &Dispatcher, phase: Phase, ended: Ended) -> Phase {
+        match (phase, ended) {
+            (Phase::Connecting, Ended::Connected(Ok(link))) => {
+                let now = dispatcher.clock.now();
+                match self.watch.connected(now) {
+                    at if at > now => Phase::Connected(link, at),
+                    _ => self.call(dispatcher, link),
+                }
+            }
+            (Phase::Connecting, Ended::Connected(Err(error))) => self.failed(dispatcher, &error),
+            // Of a connection that nobody waits for any more.
+            (phase, Ended::Connected(_)) => phase,
+            (Phase::Calling(current, _), Ended::Called(number, Err(error))) if number == current => {
+                self.failed(dispatcher, &error)
+            }
+            // One whose time was up has failed in the end: it counted then.
+            (phase, Ended::Called(_, Err(_))) => phase,
+            (phase, Ended::Called(number, Ok(answer))) => self.answered(dispatcher, phase, number, answer),
+        }
     }
 
-    /// The next call's answer; if there is none, why, and whether nothing was said at all.
-    async fn call(&mut self, dispatcher: &Dispatcher) -> Result<Listing, (Broken, bool)> {
-        let progress = Progress::default();
-        let link = self.link().await.map_err(|broken| (broken, false))?;
-        self.calls.grants(self.registry.grace());
-        let call = self.calls.call(dispatcher.clock.now(), self.version.is_none());
-        let answered = timeout(span(call.within), self.exchange(call, link, &progress)).await;
-        let body = match answered {
-            Ok(answered) => answered.map_err(|broken| (broken, false))?,
-            Err(_) => return Err((progress.broken(Cause::TimedOut), true)),
-        };
-        let garbage = |e: serde_json::Error| (progress.broken(Cause::Garbage(e.to_string())), false);
-        let listing: Listing = serde_json::from_slice(&body).map_err(garbage)?;
+    fn call(&mut self, dispatcher: &Dispatcher, link: Link) -> Phase {
+        let now = dispatcher.clock.now();
+        self.watch.grants(self.registry.grace());
+        let call = self.watch.call(now, self.version.is_none());
+        self.called_at = now;
+        Phase::Calling(self.calls.call(link, self.version, call.wait), now + call.within)
+    }
+
+    fn answered(
+        &mut self,
+        dispatcher: &Dispatcher,
+        phase: Phase,
+        number: CallNumber,
+        answer: Answer,
+    ) -> Phase {
+        let current = matches!(phase, Phase::Calling(current, _) if current == number);
+        let Answer { listing, link, begun_at } = answer;
         if self.version.is_some_and(|version| listing.version < version) {
+            // A call that was out for long may well tell less than the one that was answered meanwhile.
+            if !current {
+                return phase;
+            }
             // Danger: a copy of discovery that lags lists as ready what was announced as leaving. Whoever begins anew tells
             // the whole list, which is asked for next.
             self.version = None;
-            return Err((progress.broken(Cause::Garbage("older than the list told before".into())), false));
+            return self.failed(dispatcher, &CallError::garbage("older than the list told before".into()));
         }
-        Ok(listing)
-    }
-
-    /// A connection to where it is now.
-    async fn link(&mut self) -> Result<Link, Broken> {
-        let addr = *self.addr.borrow();
-        if std::mem::replace(&mut self.asked_at, addr) != addr {
-            // Danger: one discovery's versions may say nothing to another; the whole list is asked for.
-            (self.link, self.version) = (None, None);
+        if self.failed > 1 {
+            say!("discovery: answers again, after {} calls that failed", self.failed);
         }
-        let open = match self.link.take() {
-            Some(link) => link.ready().await,
-            None => None,
-        };
-        match open {
-            Some(link) => Ok(link),
-            None => {
-                timeout(DIAL, Link::dial(addr, None)).await.unwrap_or(Err(Broken::unwritten(Cause::TimedOut)))
-            }
+        self.failed = 0;
+        let now = dispatcher.clock.now();
+        // Danger: what stood in our socket while we stood still would vouch for the time of its reading.
+        let as_of = begun_at.min(dispatcher.pulse.waited_from());
+        if current {
+            self.watch.answered(as_of);
+        } else {
+            // When it was asked for is not kept; it vouches for no more than the bytes do.
+            self.calls.give_up();
+            self.watch.answered_late(as_of);
         }
+        self.lease.set(self.watch.lease());
+        self.link = Some(link);
+        let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
+        self.tell(&listing, kind);
+        // Danger: a watch that does not wait would be asked without a pause.
+        let at_once = current && listing.is_empty() && now - self.called_at < PACE;
+        Phase::Pausing(if at_once { now + PACE } else { now })
     }
 
-    async fn exchange(&mut self, call: Call, mut link: Link, progress: &Progress) -> Result<Bytes, Broken> {
-        let since = |version| format!("?since={version}&timeout_ms={}", call.wait / 1_000);
-        let path = format!("/registry/instances{}", self.version.map_or_else(String::new, since));
-        let mut request = Request::new(Outgoing::Empty);
-        let garbage = |words| progress.broken(Cause::Garbage(words));
-        *request.uri_mut() = path.parse().map_err(|_| garbage(path))?;
-        request.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
-        let reply = link.exchange(request, Most { collected: LIST_MOST, long: LIST_MOST }, progress).await?;
-        if reply.status != StatusCode::OK {
-            return Err(garbage(format!("status {}", reply.status)));
+    fn failed(&mut self, dispatcher: &Dispatcher, error: &CallError) -> Phase {
+        let now = dispatcher.clock.now();
+        self.failed += 1;
+        // An outage is few lines, however often discovery is called meanwhile.
+        if self.failed.is_power_of_two() {
+            let took = (now - self.called_at) as f64 / 1e6;
+            let CallError { failure, broken } = error;
+            say!(
+                "discovery: {broken} ({failure:?}), after {took:.3} s; failed call {} in a row",
+                self.failed
+            );
         }
-        let Came::Whole(body) = reply.body else { return Err(garbage("a list without end".into())) };
-        self.link = Some(link);
-        Ok(body)
+        let at = self.watch.failed(now, error.failure);
+        self.lease.set(self.watch.lease());
+        Phase::Pausing(at)
+    }
+
+    fn tell(&mut self, listing: &Listing, kind: ListKind) {
+        self.version = Some(listing.version);
+        self.registry.take(listing, kind);
     }
 }
--- /dev/null
+++ b/crates/flintwell/src/fleet/lease.rs
@@ -0,0 +1,51 @@
+//! The lease on the list, shared between who renews it (`discovery.rs`), who lays it over the list (`registry.rs`) and who asks
+//! for it directly before a request is sent (`nodes/permission.rs`).
+
+use crate::process::clock::Clock;
+use flintwell_core::interface::Micros;
+use flintwell_list_watch::Lease;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::Notify;
+use tokio::time::sleep_until;
+
+/// Until when the list in hand may be acted on.
+pub struct ListLease {
+    clock: Clock,
+    lease: Cell<Lease>,
+    renewed: Notify,
+}
+
+impl ListLease {
+    pub fn new(clock: Clock, lease: Lease) -> Rc<Self> {
+        Rc::new(ListLease { clock, lease: Cell::new(lease), renewed: Notify::new() })
+    }
+
+    /// What discovery's watch says of it now.
+    pub fn set(&self, lease: Lease) {
+        if self.lease.replace(lease) != lease {
+            self.renewed.notify_one();
+        }
+    }
+
+    /// Whether a request may be sent by the list now.
+    pub fn holds(&self) -> bool {
+        self.lease.get().holds(self.clock.now())
+    }
+
+    /// For how long it has been over; not positive while it holds.
+    pub fn over_for(&self) -> Micros {
+        self.clock.now() - self.lease.get().ends_at()
+    }
+
+    /// Returns when it may have ended, or was renewed.
+    pub async fn changes(&self) {
+        let ends = self.clock.instant(self.lease.get().ends_at());
+        if self.holds() {
+            // Renewed meanwhile, it is looked at anew at its old end.
+            sleep_until(ends).await;
+        } else {
+            self.renewed.notified().await;
+        }
+    }
+}
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Which nodes there are.
 
+pub mod calls;
 pub mod discovery;
+pub mod lease;
 pub mod registry;
 pub mod words;
--- a/crates/flintwell/src/fleet/registry.rs
+++ b/crates/flintwell/src/fleet/registry.rs
@@ -1,6 +1,8 @@
 //! The list as it is told to the module and the pool: discovery's word, with the operators' laid over it.
 
+use crate::fleet::lease::ListLease;
 use crate::nodes::pool::Pool;
+use crate::process::count::{Count, one_more};
 use crate::process::live::Live;
 use crate::process::store::{Store, plain};
 use crate::requests::dispatcher::Dispatcher;
@@ -46,6 +48,11 @@
     store: Store,
     lines: RefCell<BTreeMap<String, Line>>,
     hands: RefCell<BTreeMap<String, Hand>>,
+    lease: Rc<ListLease>,
+    /// The list is so old that nothing may be sent by it, and the module was told so.
+    lapsed: Cell<bool>,
+    /// How often that came.
+    lapses: Count,
     /// Of the list, where it has changed since it was kept for a successor.
     unkept: Cell<Option<u64>>,
 }
@@ -57,6 +64,8 @@
         pool: Rc<Pool>,
         dispatcher: Rc<Dispatcher>,
         store: Store,
+        lease: Rc<ListLease>,
+        lapses: Count,
     ) -> Rc<Self> {
         let hands = RefCell::new(recorded(&store));
         Rc::new(Registry {
@@ -67,6 +76,9 @@
             store,
             lines: RefCell::default(),
             hands,
+            lease,
+            lapsed: Cell::new(false),
+            lapses,
             unkept: Cell::new(None),
         })
     }
@@ -88,9 +100,40 @@
         if kind != ListKind::Kept {
             self.unkept.set(Some(listing.version));
         }
+        if self.lapsed.get() && self.lease.holds() {
+            // Danger: told one by one, what did not change would stay closed; told before what changed was taken in, the
+            // module would send to servers that have left.
+            self.lapsed.set(false);
+            say!("the list is up to date again: requests are sent");
+            self.tell_again(&[]);
+        }
         self.tell(&listing.servers, kind);
     }
 
+    /// Keeps the module told of whether the list may be acted on.
+    pub async fn keep_lease(&self) {
+        loop {
+            self.check_lease();
+            self.lease.changes().await;
+        }
+    }
+
+    /// Danger: chosen by a list that has lapsed, every attempt would be stopped at its first byte only.
+    fn check_lease(&self) {
+        let lapsed = !self.lease.holds();
+        if self.lapsed.replace(lapsed) == lapsed {
+            return;
+        }
+        if lapsed {
+            one_more(&self.lapses);
+            let over = self.lease.over_for() as f64 / 1e6;
+            say!("the list could not be renewed in time ({over:.3} s ago): nothing is sent until it is");
+        } else {
+            say!("discovery could not be reached, so the list stands: requests are sent");
+        }
+        self.tell_again(&[]);
+    }
+
     /// The list that a forerunner of ours had last, if it left one.
     pub fn left(&self) -> Option<Listing> {
         let text = self.store.read(LIST)?;
@@ -137,6 +180,11 @@
     /// A line with the operators' word laid over it.
     fn overlaid(&self, line: &Line) -> Line {
         let mut line = line.clone();
+        // Danger: what a list lacks that has lapsed counts as told: any of its servers may have left.
+        if self.lapsed.get() && line.state == "ready" {
+            line.state = "draining".into();
+            return line;
+        }
         match self.hands.borrow().get(&line.id) {
             // Danger: a node under maintenance that a list has as ready would be sent requests.
             Some(Hand { back_ms: None, .. }) if line.state == "ready" => line.state = "draining".into(),
--- a/crates/flintwell/src/nodes/attempt.rs
+++ b/crates/flintwell/src/nodes/attempt.rs
@@ -3,6 +3,7 @@
 use crate::clients::body::{Budget, LONGEST, Outgoing};
 use crate::clients::decode::ClientRequest;
 use crate::nodes::link::{Broken, Came, Cause, Link, Most, Progress};
+use crate::nodes::permission::{Permission, Sending};
 use crate::nodes::pool::Pool;
 use crate::nodes::relay::{Content, Relay};
 use crate::process::clock::span;
@@ -15,12 +16,11 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::time::{sleep, timeout};
 use tower::Service;
 
 const ANSWER: Most = Most { collected: 65_536, long: LONGEST }; // bytes; spoilt ones can be tried elsewhere
-const MARGIN: Duration = Duration::from_millis(30); // beyond a dial: room for the connection, and the turn of our core
 const TURNS: usize = 3; // of the runtime: the socket's, the connection's and our own
 
 pub struct Attempt {
@@ -30,6 +30,17 @@
     pub chosen_at: Instant,
 }
 
+impl Attempt {
+    fn sending(&self) -> Sending {
+        Sending {
+            node: self.node.clone(),
+            chosen_at: self.chosen_at,
+            allow_for: self.allow_for,
+            client: self.request.client.clone(),
+        }
+    }
+}
+
 /// A node's whole answer.
 pub struct Answered {
     pub ending: Ending,
@@ -40,15 +51,15 @@
 
 #[derive(Clone)]
 pub struct Attempts {
-    pool: Rc<Pool>,
+    permission: Permission,
     counts: Rc<Counts>,
     /// For what is read ahead of long answers.
     room: Rc<Budget>,
 }
 
 impl Attempts {
-    pub fn new(pool: Rc<Pool>, counts: Rc<Counts>, room: Rc<Budget>) -> Self {
-        Attempts { pool, counts, room }
+    pub fn new(permission: Permission, counts: Rc<Counts>, room: Rc<Budget>) -> Self {
+        Attempts { permission, counts, room }
     }
 }
 
@@ -62,10 +73,10 @@
     }
 
     fn call(&mut self, attempt: Attempt) -> Self::Future {
-        let Attempts { pool, counts, room } = self.clone();
+        let Attempts { permission, counts, room } = self.clone();
         Box::pin(async move {
             let progress = Progress::counted(&counts.attempts);
-            let mut exchange = pin!(send(&pool, &attempt, &progress, &room));
+            let mut exchange = pin!(send(&permission, &attempt, &progress, &room));
             if let Some(end) = attempt.request.body.passing() {
                 // Its time counts from its last byte.
                 tokio::select! {
@@ -93,13 +104,18 @@
 }
 
 async fn send(
-    pool: &Rc<Pool>,
+    permission: &Permission,
     attempt: &Attempt,
     progress: &Progress,
     room: &Rc<Budget>,
 ) -> Result<Answered, Broken> {
+    let pool = &permission.pool;
     let mut link = open(pool, &attempt.node).await?;
-    last_look(pool, attempt)?;
+    // Whatever came between it and the choice: a dial, a full room, a standstill of ours.
+    let sending = attempt.sending();
+    permission.now(&sending)?;
+    let (permitted_at, checks) = (Instant::now(), permission.clone());
+    progress.checks(move || checks.check_sent(&sending, permitted_at));
     let (idle, first) = (link.idle_since.elapsed(), link.unused());
     let body = attempt.request.body.hand_out().ok_or(Broken::unwritten(Cause::Spent))?;
     let reply = link.exchange(message(attempt, body), ANSWER, progress).await;
@@ -129,19 +145,6 @@
     pool.dial(node).await
 }
 
-/// Directly before the first byte, whatever came between it and the choice: a dial, a full room, a standstill of ours.
-fn last_look(pool: &Pool, attempt: &Attempt) -> Result<(), Broken> {
-    // Danger: the list may have changed since the module chose, and a send counts from its first byte.
-    pool.listed(&attempt.node)?;
-    // Danger: a window for repeats, or the request's time, may be over; the module left a dial's time of either.
-    let since = attempt.chosen_at.elapsed();
-    if since >= span(attempt.allow_for) || since > pool.dial_within + MARGIN {
-        return Err(Broken::unwritten(Cause::Stale));
-    }
-    // Danger: a client that left meanwhile would have its request carried out for nobody.
-    if attempt.request.client.left() { Err(Broken::unwritten(Cause::Left)) } else { Ok(()) }
-}
-
 fn message(attempt: &Attempt, body: Outgoing) -> Request<Outgoing> {
     let request = &attempt.request;
     let mut message = Request::new(body);
--- a/crates/flintwell/src/nodes/link.rs
+++ b/crates/flintwell/src/nodes/link.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use rustix::io::Errno;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
@@ -58,6 +59,12 @@
     Left,
     /// It was decided on too long ago.
     Stale,
+    /// The list is so old that what it lacks counts as told.
+    Lapsed,
+    /// The other machine, or the way to it, did not take the connection.
+    Unreachable(String),
+    /// Our own system had no socket, port, route or memory for a connection.
+    LocalFault(String),
 }
 
 /// An exchange that broke.
@@ -75,7 +82,14 @@
         match (self.stage, &self.cause) {
             (
                 Stage::Unwritten,
-                Cause::Unlisted | Cause::NoRoom | Cause::Spent | Cause::Left | Cause::Stale,
+                Cause::Unlisted
+                | Cause::NoRoom
+                | Cause::Spent
+                | Cause::Left
+                | Cause::Stale
+                | Cause::Lapsed
+                // Danger: a fault of our own would be held against a node that is well.
+                | Cause::LocalFault(_),
             ) => Ending::NotSent,
             (Stage::Unwritten, _) => Ending::ConnectFailed,
             (_, Cause::TimedOut) => Ending::TimedOut,
@@ -87,7 +101,10 @@
                 | Cause::NoRoom
                 | Cause::Spent
                 | Cause::Left
-                | Cause::Stale,
+                | Cause::Stale
+                | Cause::Lapsed
+                | Cause::Unreachable(_)
+                | Cause::LocalFault(_),
             ) => Ending::Reset,
         }
     }
@@ -108,6 +125,9 @@
             Cause::Spent => write!(f, "its body is gone"),
             Cause::Left => write!(f, "its client has left"),
             Cause::Stale => write!(f, "decided on too long ago"),
+            Cause::Lapsed => write!(f, "the list has grown too old"),
+            Cause::Unreachable(why) => write!(f, "no connection: {why}"),
+            Cause::LocalFault(why) => write!(f, "no connection, for a fault of our own system: {why}"),
         }
     }
 }
@@ -129,6 +149,8 @@
     written: Cell<bool>,
     /// Grows by one once that is written.
     whole: Cell<Option<Count>>,
+    /// Called once its first bytes are written.
+    begins: Cell<Option<Box<dyn FnOnce()>>>,
 }
 
 /// A message's body, which marks its end.
@@ -177,6 +199,9 @@
         let wrote = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(bytes)) = wrote {
             self.written.set(self.written.get() + bytes as u64);
+            if let Some(check) = self.message.begins.take() {
+                check();
+            }
         }
         wrote
     }
@@ -200,6 +225,8 @@
     long: Cell<Option<Rc<Message>>>,
     /// Grows by one once its message is written whole.
     whole: Option<Count>,
+    /// Called once its first bytes are written.
+    begins: Cell<Option<Box<dyn FnOnce()>>>,
     /// An answer of no told length has begun, and is held for a moment.
     held: Cell<bool>,
     /// Ends that moment.
@@ -215,6 +242,10 @@
     pub fn counted(whole: &Count) -> Self {
         Progress { whole: Some(whole.clone()), ..Progress::default() }
     }
+    /// Has this called once the first bytes of the message are written.
+    pub fn checks(&self, check: impl FnOnce() + 'static) {
+        self.begins.set(Some(Box::new(check)));
+    }
     fn stage(&self) -> Stage {
         let mark = self.mark.take();
         let begun = mark.as_ref().is_some_and(|(written, before)| written.get() > *before);
@@ -259,7 +290,7 @@
     /// Opens a connection; `permit` is given back when its socket is closed.
     pub async fn dial(addr: SocketAddr, permit: Option<OwnedSemaphorePermit>) -> Result<Self, Broken> {
         let closed = |error: &dyn fmt::Display| Broken::unwritten(Cause::Closed(error.to_string()));
-        let stream = TcpStream::connect(addr).await.map_err(|e| closed(&e))?;
+        let stream = TcpStream::connect(addr).await.map_err(|e| Broken::unwritten(not_connected(&e)))?;
         stream.set_nodelay(true).map_err(|e| closed(&e))?;
         let (stream, written) = (Rc::new(stream), Rc::new(Cell::new(0)));
         let shared = Rc::downgrade(&stream);
@@ -322,6 +353,11 @@
         answers.coding.map(|coding| (answers.body, coding))
     }
 
+    /// When the first byte of the answer that was read last was read.
+    pub fn answer_begun(&self) -> Option<Instant> {
+        self.answers.borrow().begun_at
+    }
+
     /// The socket, for one who takes over what it still brings.
     pub fn stream(&self) -> Option<Rc<TcpStream>> {
         self.stream.upgrade()
@@ -341,6 +377,7 @@
         let long = request.body().size_hint().exact().is_none_or(|length| length > SHORT);
         progress.long.set(long.then(|| self.message.clone()));
         self.message.whole.set(progress.whole.clone());
+        self.message.begins.set(progress.begins.take());
         let request = request.map(|body| Marked { body, message: self.message.clone() });
         let broken = |error: hyper::Error| progress.broken(cause(&error));
         let (head, body) = self.sender.send_request(request).await.map_err(broken)?.into_parts();
@@ -393,6 +430,28 @@
     }
 }
 
+/// Whose fault it is that no connection came up.
+fn not_connected(error: &io::Error) -> Cause {
+    let local = [
+        Errno::MFILE,
+        Errno::NFILE,
+        Errno::NOBUFS,
+        Errno::NOMEM,
+        Errno::ADDRNOTAVAIL,
+        Errno::ADDRINUSE,
+        Errno::AGAIN,
+        Errno::INTR,
+        Errno::NETUNREACH,
+        Errno::NETDOWN,
+        Errno::ACCESS,
+        Errno::PERM,
+    ];
+    match Errno::from_io_error(error) {
+        Some(code) if local.contains(&code) => Cause::LocalFault(error.to_string()),
+        _ => Cause::Unreachable(error.to_string()),
+    }
+}
+
 /// Whether what came made no sense, or nothing more came.
 fn cause(error: &(dyn Error + 'static)) -> Cause {
     let parse = error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse);
--- a/crates/flintwell/src/nodes/mod.rs
+++ b/crates/flintwell/src/nodes/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod carry;
 pub mod link;
+pub mod permission;
 pub mod pool;
 pub mod relay;
 pub mod stream;
--- a/crates/flintwell/src/process/clock.rs
+++ b/crates/flintwell/src/process/clock.rs
@@ -26,6 +26,11 @@
     pub fn now(&self) -> Micros {
         self.started_at + self.started.elapsed().as_micros() as Micros
     }
+    /// A moment of the monotonic clock, by this one.
+    pub fn at(&self, instant: Instant) -> Micros {
+        let since = instant.saturating_duration_since(self.started).as_micros() as Micros;
+        self.started_at + since
+    }
     pub fn instant(&self, at: Micros) -> tokio::time::Instant {
         (self.started + span(at - self.started_at)).into()
     }
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -3,10 +3,13 @@
 use crate::clients::accept;
 use crate::clients::body::Budget;
 use crate::clients::presence::Presence;
+use crate::fleet::calls::Calls;
 use crate::fleet::discovery::Discovery;
+use crate::fleet::lease::ListLease;
 use crate::fleet::registry::Registry;
 use crate::fleet::words::Words;
 use crate::nodes::attempt::Attempts;
+use crate::nodes::permission::Permission;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, span};
 use crate::process::config::{Config, SOCKETS_LEAST};
@@ -130,7 +133,9 @@
     let list_wanted = Rc::new(Notify::new());
     let place = (config.settings.index, config.settings.fleet_size);
     let pushed = !config.settings.list_on_request;
-    let figures = Figures { pushed, fleet: place.1, grace: network.get().drain_grace };
+    let hold = if pushed { 0 } else { config.settings.ask_within };
+    let (index, fleet, grace) = (place.0, place.1, network.get().drain_grace);
+    let figures = Figures { pushed, fleet, index, grace, hold };
     let asked = config.settings.list_on_request.then(|| list_wanted.clone());
     let origin_kind = config.settings.origin_kind;
     let (clock, seed) = (Clock::start(), config.seed);
@@ -142,13 +147,25 @@
     }
     let succession = Succession::open(store.clone(), dispatcher.clock.now());
     let succession = Rc::new(succession.map_err(|e| format!("folder for temporary files: {e}"))?);
-    let registry = Registry::new(network.clone(), origin_kind, pool.clone(), dispatcher.clone(), store);
+    let list_watch = ListWatch::new(clock.now(), figures, seed);
+    let lease = ListLease::new(clock, list_watch.lease());
+    let registry = Registry::new(
+        network.clone(),
+        origin_kind,
+        pool.clone(),
+        dispatcher.clone(),
+        store,
+        lease.clone(),
+        counts.lapses.clone(),
+    );
     let (moves, discovery_at) = watch::channel(config.discovery);
     let mut discovery =
-        Discovery::new(discovery_at, registry.clone(), asked, ListWatch::new(clock.now(), figures, seed));
+        Discovery::new(discovery_at, registry.clone(), lease.clone(), asked, list_watch, Calls::new(clock));
     discovery.start(registry.left().as_ref().unwrap_or(&config.known));
     let watched = dispatcher.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
+    let leased = registry.clone();
+    spawn_local(lasting("lease", async move || leased.keep_lease().await));
     let reloading = async move || reload::on_signal(&mut hangup, &path, &moves).await;
     spawn_local(lasting("reload", reloading));
     let timed = dispatcher.clone();
@@ -222,7 +239,8 @@
             Err(error) => say!("long answers can't be taken over: {error}"),
         }
     }
-    let attempts = Attempts::new(pool, counts.clone(), Budget::new(config.answers));
+    let permission = Permission { pool, lease, violations: counts.violations.clone() };
+    let attempts = Attempts::new(permission, counts.clone(), Budget::new(config.answers));
     let budget = Budget::new(config.bodies);
     let longest_now = network.clone();
     let front =
--- a/crates/flintwell/src/staff/counts.rs
+++ b/crates/flintwell/src/staff/counts.rs
@@ -1,5 +1,6 @@
 //! The figures that the second address tells, counted where the thing happens.
 
+use crate::nodes::permission::Violations;
 use crate::process::count::{Count, one_more};
 use flintwell_core::interface::Micros;
 use flintwell_rollout::wire::{self, encode_times, new_times};
@@ -44,6 +45,10 @@
     pub fetches: Count,
     /// Of those, turned away as full.
     pub refused: Count,
+    /// Requests sent though they might not be.
+    pub violations: Violations,
+    /// How often a list grew too old to act on.
+    pub lapses: Count,
 }
 
 /// A request in hand, for as long as this lives.
@@ -67,6 +72,15 @@
     skipped_cache_nodes: usize,
 }
 
+/// What may not be, as the second address tells it at a call of our own; the operators' figures stay as they named them.
+#[derive(Serialize)]
+pub struct RuleFigures {
+    /// How often the list grew too old to act on.
+    list_lapses: u64,
+    /// Requests sent against a rule, by the rule.
+    violations: BTreeMap<&'static str, u64>,
+}
+
 impl Counts {
     pub fn new(cases: &[String], timed: bool) -> Rc<Self> {
         let counts = Counts {
@@ -76,6 +90,8 @@
             attempts: Count::default(),
             fetches: Count::default(),
             refused: Count::default(),
+            violations: Violations::default(),
+            lapses: Count::default(),
         };
         counts.knows(cases);
         Rc::new(counts)
@@ -126,6 +142,10 @@
         }
     }
 
+    pub fn rule_figures(&self) -> RuleFigures {
+        RuleFigures { list_lapses: self.lapses.get(), violations: self.violations.by_name() }
+    }
+
     /// The same for whoever compares proxies.
     pub fn compared(&self, epoch: u64, started_ms: u64) -> wire::Figures {
         let ends = |ended: &Ended| wire::Ends {
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -52,6 +52,7 @@
 type Said = (StatusCode, String);
 
 const FLEET: &str = "/api/fleet"; // asks what we know of the other proxies
+const RULES: &str = "/api/violations"; // what may not be, counted
 const ROLLOUT: &str = "/api/rollout/"; // begins the calls on changes of settings
 
 /// Danger: callers that connect and finish no call would keep the others out. So the oldest makes room.
@@ -115,7 +116,7 @@
         return Ok((StatusCode::OK, text));
     }
     let wanted = match request.uri().path() {
-        "/api/ready" | "/api/telemetry" => Method::GET,
+        "/api/ready" | "/api/telemetry" | RULES => Method::GET,
         "/api/exclude" | "/api/include" => Method::POST,
         _ => return Err(StatusCode::NOT_FOUND),
     };
@@ -133,6 +134,10 @@
             let text = serde_json::to_string(&figures).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
             Ok((StatusCode::OK, text))
         }
+        RULES => {
+            let text = serde_json::to_string(&office.counts.rule_figures());
+            Ok((StatusCode::OK, text.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?))
+        }
         path => {
             let text = Limited::new(body, BODY_MOST).collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
             let named = serde_json::from_slice::<Named>(&text.to_bytes());
