--- a/crates/flintwell/tests/process/overload.rs
+++ b/crates/flintwell/tests/process/overload.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,9 @@
 const GRACE: Duration = Duration::from_millis(300); // for requests to a draining server from then on
 const SLACK: Duration = Duration::from_millis(50); // of the rule on sockets
 
+/// One fleet at a time, since each is some dozens of processes.
+static ONE_FLEET: Mutex<()> = Mutex::new(());
+
 /// What a discovery does with calls beyond what it can serve at once.
 #[derive(Clone, Copy)]
 struct Queue {
@@ -151,6 +154,7 @@
 
 /// So many proxies start as one; at `resets`, if given, all watches end; at `drains` a server begins to drain.
 fn plays(fleet: usize, queue: Queue, resets: Option<Duration>, drains: Duration, ends: Duration) -> Day {
+    let _alone = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
     let caches: Vec<Server> = (0..4).map(|_| Server::start(|_, _| Does::Answers(200, "value"))).collect();
     let origin = Server::start(|_, _| Does::Answers(200, "value"));
     let mut servers: Vec<(String, SocketAddr, &'static str)> =
@@ -216,3 +220,24 @@
     assert!(day.late.is_empty(), "{:.2?} s past; {} told, {} calls", day.late, day.told, day.calls);
     assert!(day.told >= fleet, "{} of {fleet} were told, {} calls", day.told, day.calls);
 }
+
+#[test]
+fn a_fleet_whose_watches_are_all_reset_is_told_again_before_what_it_missed_counts() {
+    let fleet = 24;
+    let queue = Queue { each: Duration::from_millis(150), longest: Duration::from_secs(1), spends: false };
+    let (resets, drains, ends) = (Duration::from_secs(7), Duration::from_secs(9), Duration::from_secs(18));
+    let day = plays(fleet, queue, Some(resets), drains, ends);
+    assert!(day.late.is_empty(), "{:.2?} s past; {} told, {} calls", day.late, day.told, day.calls);
+    assert!(day.told >= fleet, "{} of {fleet} were told, {} calls", day.told, day.calls);
+}
+
+/// It spends its work on calls that it refuses, so it takes long to tell all; those not told stop sending meanwhile.
+#[test]
+fn a_fleet_before_a_discovery_that_works_on_what_it_refuses_calls_ever_more_rarely_and_sends_nothing_late() {
+    let fleet = 24;
+    let queue = Queue { each: Duration::from_millis(220), longest: Duration::from_millis(500), spends: true };
+    let day = plays(fleet, queue, None, Duration::from_secs(8), Duration::from_secs(24));
+    assert!(day.late.is_empty(), "{:.2?} s past; {} told, {} calls", day.late, day.told, day.calls);
+    println!("{} told, {} calls", day.told, day.calls);
+    assert!(day.calls < fleet * 9, "{} calls", day.calls);
+}
