--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -61,8 +61,6 @@
     tried_at: Micros,
     /// How long the last connection took to come up.
     dial: Micros,
-    /// It refused at once since its last answer, so it is there and has too many callers.
-    overloaded: bool,
     /// Something may have been missed since the last answer.
     doubt: bool,
     /// No connection came up at the last try.
@@ -81,7 +79,6 @@
             called_at: now,
             tried_at: now,
             dial: 0,
-            overloaded: false,
             doubt: false,
             unreachable: false,
         }
@@ -166,13 +163,10 @@
             return now + self.pause_unreachable();
         }
         let waited = failure == Failure::Refused && queued(now - self.called_at, self.dial);
-        if failure == Failure::Refused {
-            self.overloaded |= !waited;
-        }
         if std::mem::take(&mut self.starting) {
             self.lease.first_call_failed();
         }
-        if waited && !self.overloaded {
+        if waited {
             self.lease.renew_in_doubt(self.called_at);
         }
         self.failures.add(now);
@@ -206,7 +200,6 @@
         self.failures = Failures::default();
         self.last_failure = None;
         self.doubt = false;
-        self.overloaded = false;
         self.starting = false;
     }
 
