--- a/crates/flintwell/tests/process/rare.rs
+++ b/crates/flintwell/tests/process/rare.rs
@@ -280,3 +280,22 @@
     soon("it listens", || TcpStream::connect(addr).is_ok());
     assert_eq!(proxy.client().ask("read", "k").status(), 200);
 }
+
+#[test]
+fn a_configuration_that_is_missing_at_the_signal_is_read_once_it_is_there() {
+    let (cache, origin) = (misses(), misses());
+    let moved = Server::start(|_, _| Does::Hangs);
+    let mut config = config(cache.addr, origin.addr);
+    let proxy = Proxy::start(&config);
+    std::fs::remove_file(&proxy.file).expect("removed");
+    proxy.signal("-HUP");
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(moved.heard().is_empty());
+    config["discovery"] = json!(moved.addr.to_string());
+    // Half of it first, as of one who does not rename.
+    let text = config.to_string();
+    std::fs::write(&proxy.file, &text[..text.len() / 2]).expect("written");
+    std::thread::sleep(Duration::from_millis(300));
+    std::fs::write(&proxy.file, &text).expect("written");
+    soon("asked at the new place", || !moved.heard().is_empty());
+}
