--- a/crates/flintwell-rig/src/lib.rs
+++ b/crates/flintwell-rig/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod record;
 pub mod relay;
 pub mod rollouts;
+pub mod soak;
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use flintwell_rig::fleet::{Fleet, Shape};
 use flintwell_rig::plan::{Outcome, Plan};
-use flintwell_rig::{days, record, rollouts};
+use flintwell_rig::{days, record, rollouts, soak};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -69,6 +69,17 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Plays days of overlapping faults round a discovery that has too many callers: silences, resets, drains, restarts
+    Soak {
+        #[arg(long, default_value_t = 24)]
+        proxies: usize,
+        /// How many
+        #[arg(long, default_value_t = 20)]
+        count: u64,
+        /// The first seed
+        #[arg(long, default_value_t = 0)]
+        from: u64,
+    },
     /// Kills the one who rolls out, and members, at random points, and looks whether the fleet is whole afterwards
     Kills {
         #[arg(long, default_value_t = 6)]
@@ -207,6 +218,18 @@
             }
             Ok(kept == *count)
         }
+        Command::Soak { proxies, count, from } => {
+            let mut kept = 0;
+            for seed in *from..from + count {
+                let below = folder.path().join(format!("soak-{seed}"));
+                let day = soak::play(seed, *proxies, &arguments.program, &below).await?;
+                println!("{seed:4}: {} requests, {} served, {} lapses", day.requests, day.served, day.lapses);
+                day.broken.iter().take(5).for_each(|one| println!("    {one}"));
+                kept += u64::from(day.broken.is_empty());
+            }
+            println!("{kept} of {count} with all rules kept");
+            Ok(kept == *count)
+        }
         Command::Kills { proxies, count } => {
             let mut shape = Shape { proxies: *proxies, ..Shape::default() };
             shape.zones = ["a", "b"].map(str::to_owned).into();
--- a/crates/flintwell-standins/src/discovery.rs
+++ b/crates/flintwell-standins/src/discovery.rs
@@ -4,15 +4,17 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
@@ -35,9 +37,18 @@
                     continue;
                 };
                 let (world, view) = (world.clone(), view.clone());
+                let answered = Arc::new(AtomicBool::new(false));
                 let service = service_fn(move |request: Request<Incoming>| {
                     let (world, view) = (world.clone(), view.clone());
+                    let fresh = !answered.swap(true, Ordering::Relaxed);
                     async move {
+                        let Some(wait) = world.queues(fresh) else {
+                            let mut refused = Response::new(Full::default());
+                            *refused.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                            refused.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                            return Ok(refused);
+                        };
+                        sleep(wait).await;
                         let text = world.answers(request.uri().query().unwrap_or(""), &view.0, &view.1).await;
                         Ok::<_, hyper::Error>(Response::new(Full::new(Bytes::from(text))))
                     }
@@ -62,7 +73,8 @@
             let wait_ms = if since.is_some() { wait.as_secs_f64() * 1e3 } else { 0.0 };
             let mut inner = self.lock();
             inner.calls.push(Called { proxy: proxy.into(), at_ms, wait_ms, answered: None });
-            (inner.calls.len() - 1, inner.call_time)
+            let each = if inner.queue_most.is_some() { Duration::ZERO } else { inner.call_time };
+            (inner.calls.len() - 1, each)
         };
         if !each.is_zero() {
             let _turn = self.turn.lock().await;
--- a/crates/flintwell-standins/src/world.rs
+++ b/crates/flintwell-standins/src/world.rs
@@ -142,6 +142,10 @@
     pub calls: Vec<Called>,
     /// How long discovery takes for a call, one after another.
     pub call_time: Duration,
+    /// Where discovery has too many callers: only new connections cost it, and a call that would wait for longer is refused.
+    pub queue_most: Option<Duration>,
+    /// Until when discovery works on calls that it has let in, where that is bounded.
+    pub busy_until: Option<Instant>,
     /// The caches that missed for a request, by its id, until the origin answers it.
     pub missed: HashMap<String, Vec<usize>>,
 }
@@ -242,6 +246,27 @@
         self.lock().call_time = each;
     }
 
+    /// Discovery takes so long for each new connection's first call from now on, and refuses at once what would wait for
+    /// longer than `longest`; calls that go on with a watch cost it nothing.
+    pub fn overloads(&self, each: Duration, longest: Duration) {
+        let mut inner = self.lock();
+        (inner.call_time, inner.queue_most) = (each, Some(longest));
+    }
+
+    /// How long a call made now waits for its turn where the queue is bounded; none if it is refused.
+    pub(crate) fn queues(&self, fresh: bool) -> Option<Duration> {
+        let mut inner = self.lock();
+        let Some(longest) = inner.queue_most.filter(|_| fresh) else { return Some(Duration::ZERO) };
+        let now = Instant::now();
+        let ends = inner.busy_until.map_or(now, |busy| busy.max(now)) + inner.call_time;
+        let wait = ends - now;
+        if wait > longest {
+            return None;
+        }
+        inner.busy_until = Some(ends);
+        Some(wait)
+    }
+
     /// Ids, zones and kinds, as they were made.
     pub fn made(&self) -> Vec<Made> {
         self.lock().nodes.iter().map(|node| node.made.clone()).collect()
--- a/crates/flintwell/tests/process/overload.rs
+++ b/crates/flintwell/tests/process/overload.rs
@@ -1,9 +1,11 @@
 //! A fleet before a discovery that takes calls in turn and has more callers than it can serve at once.
 
 use crate::support::*;
+use flintwell_rig::soak;
 use serde_json::{Value, json};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -241,3 +243,15 @@
     println!("{} told, {} calls", day.told, day.calls);
     assert!(day.calls < fleet * 9, "{} calls", day.calls);
 }
+
+/// Silences, resets, drains, kills and pauses that overlap, drawn by their seed; `flintwell-rig soak` plays many.
+#[test]
+fn a_day_of_overlapping_faults_round_a_busy_discovery_breaks_no_rule() {
+    let _alone = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let folder = tempfile::tempdir().expect("a folder");
+    let day = runtime.expect("a runtime").block_on(soak::play(3, 24, Path::new(PROGRAM), folder.path()));
+    let day = day.expect("it was played");
+    assert!(day.broken.is_empty(), "{:#?}", day.broken);
+    assert!(day.served * 10 > day.requests * 7, "{} of {}", day.served, day.requests);
+}
