A lease that gets shorter is noticed; after a standstill the next call waits for nothing

Found by a new test: after a first call that failed the module was told only at the longer lease's end, 10 s, and chose attempts that were stopped at their first byte. And (read) after a standstill an answer vouches for a time long past, and the watch behind it took 3 s more.

--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -120,7 +120,9 @@
     /// Discovery is called now. `whole`: for the whole list, which waits for nothing.
     pub fn call(&mut self, now: Micros, whole: bool) -> Call {
         self.called_at = now;
-        if !self.doubt && !whole {
+        // Danger: after a standstill of ours an answer vouches for a time long past, and a watch would outlast the lease.
+        let outlasts = self.lease.ends_at() - now <= WAIT_MOST + LATE;
+        if !self.doubt && !whole && !outlasts {
             // Danger: what a watch misses that falls silent is not known before its wait is over, and counts meanwhile; and
             // waits of one length end as one where they began as one, after a change or a start.
             let wait = self.rng.random_range(WAIT..=WAIT_MOST);
--- a/crates/flintwell/src/fleet/lease.rs
+++ b/crates/flintwell/src/fleet/lease.rs
@@ -38,14 +38,14 @@
         self.clock.now() - self.lease.get().ends_at()
     }
 
-    /// Returns when it may have ended, or was renewed.
+    /// Returns when it may have ended, or was changed.
     pub async fn changes(&self) {
         let ends = self.clock.instant(self.lease.get().ends_at());
-        if self.holds() {
-            // Renewed meanwhile, it is looked at anew at its old end.
-            sleep_until(ends).await;
-        } else {
-            self.renewed.notified().await;
+        let holds = self.holds();
+        tokio::select! {
+            // Danger: it may also get shorter, when the first call of a process fails.
+            () = self.renewed.notified() => {}
+            () = sleep_until(ends), if holds => {}
         }
     }
 }
--- a/crates/flintwell/tests/process/rare.rs
+++ b/crates/flintwell/tests/process/rare.rs
@@ -299,3 +299,45 @@
     std::fs::write(&proxy.file, &text).expect("written");
     soon("asked at the new place", || !moved.heard().is_empty());
 }
+
+#[test]
+fn by_a_list_that_discovery_does_not_renew_nothing_is_sent_and_the_client_is_told_at_once() {
+    let (cache, origin) = (
+        Server::start(|_, _| Does::Answers(200, "value")),
+        Server::start(|_, _| Does::Answers(200, "value")),
+    );
+    let well = Arc::new(AtomicBool::new(false));
+    let answers = well.clone();
+    let list: &'static str = json!({"version": 2, "full": true, "servers":
+        [entry("c", cache.addr, "cache", "ready"), entry("o", origin.addr, "origin", "ready")]})
+    .to_string()
+    .leak();
+    let discovery = Server::start(move |message, _| match answers.load(Ordering::SeqCst) {
+        true if message.first.contains("since=2") => Does::Hangs,
+        true => Does::Answers(200, list),
+        false => Does::Answers(503, ""),
+    });
+    let (mut refused, at) = managed(config(cache.addr, origin.addr));
+    let mut down = refused.clone();
+    refused["discovery"] = json!(discovery.addr.to_string());
+    down["discovery"] = json!(closed().to_string());
+    down["mgmt"] = json!(null);
+    let (refused, down) = (Proxy::start(&refused), Proxy::start(&down));
+    assert_eq!(refused.client().ask("read", "before").status(), 200);
+    std::thread::sleep(Duration::from_millis(6_300));
+    let sent = || cache.heard().len() + origin.heard().len();
+    let before = sent();
+    for case in ["read", "write", "once"] {
+        let asked = Instant::now();
+        assert_eq!(refused.client().ask(case, &format!("old-{case}")).status(), 503);
+        assert!(asked.elapsed() < Duration::from_millis(200), "{:?}", asked.elapsed());
+    }
+    assert_eq!(sent(), before, "nothing by a list so old");
+    // Where discovery can't be reached nothing that it has counts, so the list stands.
+    assert_eq!(down.client().ask("read", "down").status(), 200);
+    well.store(true, Ordering::SeqCst);
+    soon("served again", || refused.client().ask("read", "after").status() == 200);
+    let told: Value = serde_json::from_str(&get(at, "/api/violations").1).expect("JSON");
+    let none = json!({"unlisted": 0, "lapsed": 0, "stale": 0, "left": 0});
+    assert_eq!(told, json!({"list_lapses": 1, "violations": none}));
+}
