--- a/crates/flintwell-rig/src/check.rs
+++ b/crates/flintwell-rig/src/check.rs
@@ -123,9 +123,17 @@
     let written = |call: &Called| call.answered.filter(|(_, version)| *version >= change.version);
     let answered = calls.filter(|call| heard(call)).filter_map(written).map(|(at, _)| at);
     let answered = answered.fold(f64::MAX, f64::min);
-    // What is missed counts all the same; with no watch that is lost, what is pushed counts at once.
-    let missed =
-        silent.iter().find(|(from, _, to)| (*from..*to).contains(&change.at_ms)).map(|(_, _, to)| *to);
+    // What is missed counts all the same; with no watch that is lost, what is pushed counts at once. A watch is no longer
+    // missed once a later call was answered: that one told all until then, and what comes next is no loss of the silent one.
+    let mine = || evidence.calls.iter().filter(|call| call.proxy == proxy);
+    let renewed = |from: f64| {
+        let later = mine().filter(|call| call.at_ms > from && heard(call)).filter_map(|call| call.answered);
+        later.filter(|(_, version)| *version > 0).map(|(at, _)| at).fold(f64::MAX, f64::min)
+    };
+    let missed = silent
+        .iter()
+        .find(|(from, _, to)| (*from..to.min(renewed(*from))).contains(&change.at_ms))
+        .map(|(_, _, to)| *to);
     answered.min(missed.unwrap_or(if evidence.pushed { change.at_ms } else { f64::MAX }))
 }
 
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -225,6 +225,9 @@
                 let day = soak::play(seed, *proxies, &arguments.program, &below).await?;
                 println!("{seed:4}: {} requests, {} served, {} lapses", day.requests, day.served, day.lapses);
                 day.broken.iter().take(5).for_each(|one| println!("    {one}"));
+                if !day.broken.is_empty() {
+                    println!("    {}", serde_json::to_string(&day.events).map_err(|e| e.to_string())?);
+                }
                 kept += u64::from(day.broken.is_empty());
             }
             println!("{kept} of {count} with all rules kept");
--- a/crates/flintwell-rig/src/soak.rs
+++ b/crates/flintwell-rig/src/soak.rs
@@ -29,6 +29,7 @@
 /// What became of a day.
 #[derive(Debug)]
 pub struct Day {
+    pub events: Vec<Event>,
     pub requests: usize,
     pub served: usize,
     /// How often a proxy's list grew too old to act on.
@@ -86,7 +87,8 @@
     fleet.world.overloads(ROUND / u32::try_from(proxies).unwrap_or(u32::MAX), QUEUE);
     let began = Instant::now();
     fleet.comes(seed, Duration::from_secs_f64(ENDS));
-    for event in drawn(seed, proxies, &fleet.nodes_named("caches")) {
+    let events = drawn(seed, proxies, &fleet.nodes_named("caches"));
+    for event in &events {
         sleep_until((began + Duration::from_secs_f64(event.at_s)).into()).await;
         happens(&mut fleet, &event.what)?;
     }
@@ -117,7 +119,7 @@
     }
     let seen = fleet.book.all();
     let served = seen.iter().filter(|seen| seen.status == Some(200)).count();
-    Ok(Day { requests: seen.len(), served, lapses, broken })
+    Ok(Day { events, requests: seen.len(), served, lapses, broken })
 }
 
 /// Requests that reached a server later than its drain counts as told to whoever could reach discovery.
