Only a refusal after over half a second leaves in doubt that discovery was reached

With 150 ms on the way to discovery a refusal at once took 0.3 s, counted as late and renewed the lease of a list whose watch had fallen silent; five requests and more went to a server that had left.

--- a/crates/flintwell-list-watch/src/backoff.rs
+++ b/crates/flintwell-list-watch/src/backoff.rs
@@ -20,6 +20,7 @@
 const LONG: Micros = 24_000_000; // us; calls that fail for longer are no short outage; frames grow with the square from then on
 const AGE_MOST: Micros = 86_400_000_000; // us; a day; frames have long been at their most by then
 const QUEUED: Micros = 100_000; // us; a refusal that took longer has waited for its turn
+const DOUBTFUL: Micros = 500_000; // us; a refusal that took longer may come from what stands before a discovery that is down
 const DIALS: Micros = 3; // times that a connection took to come up; the way of an answer that waited for nothing
 const EARLY: u32 = 2; // failures in a row that are taken for faults of single calls
 
@@ -119,3 +120,9 @@
     let first = place.first_frame().max(FRAME_LEAST);
     if left / 2 < FRAME_LEAST { first } else { first.min(left / 2) }
 }
+
+/// Whether a call refused after `took` leaves in doubt that discovery was reached. Danger: a slow way makes each answer late, so
+/// this takes far longer than what shows that a call has waited.
+pub fn doubtful(took: Micros, dial: Micros) -> bool {
+    took > DOUBTFUL + DIALS * dial
+}
--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -4,7 +4,7 @@
 //! it and the calls that make good for it fit into it together.
 
 use crate::Micros;
-use crate::backoff::{Failure, Failures, Place, frame_within, queued};
+use crate::backoff::{Failure, Failures, Place, doubtful, frame_within, queued};
 use crate::lease::Lease;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -168,7 +168,7 @@
         if std::mem::take(&mut self.starting) {
             self.lease.first_call_failed();
         }
-        if waited {
+        if failure == Failure::Refused && doubtful(now - self.called_at, self.dial) {
             self.lease.renew_in_doubt(self.called_at);
         }
         self.failures.add(now);
--- a/crates/flintwell-list-watch/tests/lease.rs
+++ b/crates/flintwell-list-watch/tests/lease.rs
@@ -77,13 +77,15 @@
         outage.failed((101 + second) * S, Failure::Refused);
     }
     assert_eq!(outage.lease().ends_at(), began.ends_at() + TOLD, "however often it refused");
-    // One that refuses at once is there, and has too many callers: what it has counts.
-    let mut overload = watch(false);
-    for second in 1..100 {
-        overload.call((100 + second) * S, false);
-        overload.failed((100 + second) * S + 20_000, Failure::Refused);
+    // One that refuses at once is there, and has too many callers: what it has counts; also where the way to it is slow.
+    for way in [20_000, 300_000] {
+        let mut overload = watch(false);
+        for second in 1..100 {
+            overload.call((100 + second) * S, false);
+            overload.failed((100 + second) * S + way, Failure::Refused);
+        }
+        assert_eq!(overload.lease(), began);
     }
-    assert_eq!(overload.lease(), began);
 }
 
 #[test]
