--- a/crates/flintwell-list-watch/src/backoff.rs
+++ b/crates/flintwell-list-watch/src/backoff.rs
@@ -82,7 +82,7 @@
         if age <= LONG { age } else { age / 1_000 * (age / 1_000) / (LONG / 1_000) * 1_000 }
     }
 
-    /// Discovery could not be reached meanwhile, so what failed before tells nothing of how much it has to do.
+    /// An answer has come, or discovery could not be reached meanwhile: what failed before tells nothing any more.
     pub fn forget(&mut self) {
         *self = Failures::default();
     }
@@ -112,7 +112,7 @@
 
 /// Whether a call refused after `took` has waited for something, where a connection came up in `dial`.
 pub fn queued(took: Micros, dial: Micros) -> bool {
-    took > QUEUED + DIALS * dial
+    took_over(QUEUED, took, dial)
 }
 
 /// A frame that fits into what is left of a lease, with time for one more call behind it; a first frame where that is too late.
@@ -124,5 +124,10 @@
 /// Whether a call refused after `took` leaves in doubt that discovery was reached. Danger: a slow way makes each answer late, so
 /// this takes far longer than what shows that a call has waited.
 pub fn doubtful(took: Micros, dial: Micros) -> bool {
-    took > DOUBTFUL + DIALS * dial
+    took_over(DOUBTFUL, took, dial)
+}
+
+/// Whether an answer took longer than `least` beyond its way there and back.
+fn took_over(least: Micros, took: Micros, dial: Micros) -> bool {
+    took > least + DIALS * dial
 }
--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -164,11 +164,12 @@
             self.last_failure = None;
             return now + self.pause_unreachable();
         }
-        let waited = failure == Failure::Refused && queued(now - self.called_at, self.dial);
+        let (refused, took) = (failure == Failure::Refused, now - self.called_at);
+        let waited = refused && queued(took, self.dial);
         if std::mem::take(&mut self.starting) {
             self.lease.first_call_failed();
         }
-        if failure == Failure::Refused && doubtful(now - self.called_at, self.dial) {
+        if refused && doubtful(took, self.dial) {
             self.lease.renew_in_doubt(self.called_at);
         }
         self.failures.add(now);
@@ -199,7 +200,7 @@
     }
 
     fn well(&mut self) {
-        self.failures = Failures::default();
+        self.failures.forget();
         self.last_failure = None;
         self.doubt = false;
         self.starting = false;
--- a/crates/flintwell-rig/src/soak.rs
+++ b/crates/flintwell-rig/src/soak.rs
@@ -131,8 +131,8 @@
     for took in fleet.world.took() {
         // The last that discovery said of it so long ago that it counts.
         let allowed = TOLD + GRACE + SLACK;
-        let known = changes.iter().filter(|change| change.node == took.node && change.at_ms < took.at_ms);
-        let leaves = known.clone().next_back().filter(|change| change.state != State::Ready);
+        let mut known = changes.iter().filter(|change| change.node == took.node && change.at_ms < took.at_ms);
+        let leaves = known.next_back().filter(|change| change.state != State::Ready);
         if let Some(change) = leaves.filter(|change| took.at_ms - change.at_ms > allowed) {
             let proxy = proxies.get(&took.id).map_or("?", |proxy| proxy);
             let since = took.at_ms - change.at_ms;
