Logs and figures of the list in hand: source, first call, first answer, age, and on whose word it counts

What was missed in the diagnosis: a process logs with which list it begins, when it calls discovery first and has its first answer, and each change of the reason for which the list may be acted on; GET /api/list tells the same as figures. No decision changes.

--- a/crates/flintwell-list-watch/src/lib.rs
+++ b/crates/flintwell-list-watch/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod watch;
 
 pub use backoff::Failure;
-pub use lease::{Lease, TOLD};
+pub use lease::{Basis, Lease, TOLD};
 pub use watch::{Call, Figures, Watch};
 
 /// Whole microseconds: an instant, or a span.
--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -5,7 +5,7 @@
 
 use crate::Micros;
 use crate::backoff::{Failure, Failures, Place, doubtful, frame_within, queued};
-use crate::lease::Lease;
+use crate::lease::{Basis, Lease};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -140,13 +140,13 @@
 
     /// An answer has come and told all that discovery had at `as_of`, which is no earlier than its call.
     pub fn answered(&mut self, as_of: Micros) {
-        self.lease.renew(as_of.max(self.called_at));
+        self.lease.renew(as_of.max(self.called_at), Basis::Answer);
         self.well();
     }
 
     /// The same of a call whose time was up before; nothing is known of when it was made.
     pub fn answered_late(&mut self, as_of: Micros) {
-        self.lease.renew(as_of);
+        self.lease.renew(as_of, Basis::Answer);
         self.well();
     }
 
@@ -159,7 +159,7 @@
         self.unreachable = failure == Failure::Unreachable;
         if self.unreachable {
             // Discovery could not be reached when this began, so nothing that it had by then counts yet.
-            self.lease.renew(self.tried_at);
+            self.lease.renew(self.tried_at, Basis::Unreachable);
             self.failures.forget();
             self.last_failure = None;
             return now + self.pause_unreachable();
@@ -194,7 +194,7 @@
 
     /// Discovery is elsewhere from now on, and nothing has failed there yet.
     pub fn moved(&mut self, now: Micros) {
-        self.lease.renew(now);
+        self.lease.renew(now, Basis::Moved);
         self.unreachable = false;
         self.well();
     }
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::calls::{Answer, CallError, CallNumber, Calls, Ended};
 use crate::fleet::lease::ListLease;
+use crate::fleet::list_status::ListStatus;
 use crate::fleet::registry::Registry;
 use crate::nodes::link::{Broken, Cause, Link, Stage};
 use crate::requests::dispatcher::Dispatcher;
@@ -42,6 +43,7 @@
     addr: watch::Receiver<SocketAddr>,
     registry: Rc<Registry>,
     lease: Rc<ListLease>,
+    status: Rc<ListStatus>,
     /// The module asks for the list first; else it is watched from the start.
     wanted: Option<Rc<Notify>>,
     watch: Watch,
@@ -61,6 +63,7 @@
         addr: watch::Receiver<SocketAddr>,
         registry: Rc<Registry>,
         lease: Rc<ListLease>,
+        status: Rc<ListStatus>,
         wanted: Option<Rc<Notify>>,
         watch: Watch,
         calls: Calls,
@@ -69,6 +72,7 @@
             addr,
             registry,
             lease,
+            status,
             wanted,
             watch,
             calls,
@@ -147,7 +151,7 @@
         self.link = None;
         self.calls.give_up();
         self.watch.moved(dispatcher.clock.now());
-        self.lease.set(self.watch.lease());
+        self.shares_lease();
         self.pauses_for_slot(dispatcher)
     }
 
@@ -195,6 +199,7 @@
         self.watch.grants(self.registry.grace());
         let call = self.watch.call(now, self.version.is_none());
         self.called_at = now;
+        self.status.called(now);
         Phase::Calling(self.calls.call(link, self.version, call.wait), now + call.within)
     }
 
@@ -231,10 +236,11 @@
             self.calls.give_up();
             self.watch.answered_late(as_of);
         }
-        self.lease.set(self.watch.lease());
+        self.shares_lease();
         self.link = Some(link);
         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
         self.tell(&listing, kind);
+        self.status.answered(now, listing.version);
         // Danger: a watch that does not wait would be asked without a pause.
         let at_once = current && listing.is_empty() && now - self.called_at < PACE;
         Phase::Pausing(if at_once { now + PACE } else { now })
@@ -253,10 +259,16 @@
             );
         }
         let at = self.watch.failed(now, error.failure);
-        self.lease.set(self.watch.lease());
+        self.shares_lease();
         Phase::Pausing(at)
     }
 
+    fn shares_lease(&self) {
+        let lease = self.watch.lease();
+        self.lease.set(lease);
+        self.status.leased(lease);
+    }
+
     fn tell(&mut self, listing: &Listing, kind: ListKind) {
         self.version = Some(listing.version);
         self.registry.take(listing, kind);
--- a/crates/flintwell/src/fleet/lease.rs
+++ b/crates/flintwell/src/fleet/lease.rs
@@ -3,7 +3,7 @@
 
 use crate::process::clock::Clock;
 use flintwell_core::interface::Micros;
-use flintwell_list_watch::Lease;
+use flintwell_list_watch::{Basis, Lease};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -33,6 +33,16 @@
         self.lease.get().holds(self.clock.now())
     }
 
+    /// On whose word it was renewed last.
+    pub fn basis(&self) -> Basis {
+        self.lease.get().basis()
+    }
+
+    /// How long ago the list was surely not older than discovery's own state.
+    pub fn age(&self) -> Micros {
+        self.lease.get().age(self.clock.now())
+    }
+
     /// For how long it has been over; not positive while it holds.
     pub fn over_for(&self) -> Micros {
         self.clock.now() - self.lease.get().ends_at()
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -3,5 +3,6 @@
 pub mod calls;
 pub mod discovery;
 pub mod lease;
+pub mod list_status;
 pub mod registry;
 pub mod words;
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -6,6 +6,7 @@
 use crate::fleet::calls::Calls;
 use crate::fleet::discovery::Discovery;
 use crate::fleet::lease::ListLease;
+use crate::fleet::list_status::{ListStatus, Source};
 use crate::fleet::registry::Registry;
 use crate::fleet::words::Words;
 use crate::nodes::attempt::Attempts;
@@ -159,9 +160,22 @@
         counts.lapses.clone(),
     );
     let (moves, discovery_at) = watch::channel(config.discovery);
-    let mut discovery =
-        Discovery::new(discovery_at, registry.clone(), lease.clone(), asked, list_watch, Calls::new(clock));
-    discovery.start(registry.left().as_ref().unwrap_or(&config.known));
+    let left = registry.left();
+    let (source, begins_with) = match &left {
+        Some(left) => (Source::Folder, left),
+        None => (Source::Configuration, &config.known),
+    };
+    let list_status = ListStatus::start(lease.clone(), clock.now(), source, begins_with);
+    let mut discovery = Discovery::new(
+        discovery_at,
+        registry.clone(),
+        lease.clone(),
+        list_status.clone(),
+        asked,
+        list_watch,
+        Calls::new(clock),
+    );
+    discovery.start(begins_with);
     let watched = dispatcher.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
     let leased = registry.clone();
@@ -225,7 +239,7 @@
     }
     if let Some(listener) = management {
         let (counts, dispatcher, shutdown) = (counts.clone(), dispatcher.clone(), shutdown.clone());
-        let office = Rc::new(Office { counts, dispatcher, registry, shutdown, rollout, words });
+        let office = Rc::new(Office { counts, dispatcher, registry, list_status, shutdown, rollout, words });
         let answering = async move || management::answer(&listener, &office).await;
         spawn_local(lasting("second address", answering));
     }
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -1,5 +1,6 @@
 //! The second address: what the operators' staff asks and says, one call to a connection.
 
+use crate::fleet::list_status::ListStatus;
 use crate::fleet::registry::{Refused, Registry};
 use crate::fleet::words::Words;
 use crate::process::shutdown::Shutdown;
@@ -36,6 +37,7 @@
     pub counts: Rc<Counts>,
     pub dispatcher: Rc<Dispatcher>,
     pub registry: Rc<Registry>,
+    pub list_status: Rc<ListStatus>,
     pub shutdown: Shutdown,
     /// Changes of settings, where the configuration says how.
     pub rollout: Option<Rc<Rollout>>,
@@ -53,6 +55,7 @@
 
 const FLEET: &str = "/api/fleet"; // asks what we know of the other proxies
 const RULES: &str = "/api/violations"; // what may not be, counted
+const LIST: &str = "/api/list"; // which server list is in hand, how old, and on whose word it is acted on
 const ROLLOUT: &str = "/api/rollout/"; // begins the calls on changes of settings
 
 /// Danger: callers that connect and finish no call would keep the others out. So the oldest makes room.
@@ -116,7 +119,7 @@
         return Ok((StatusCode::OK, text));
     }
     let wanted = match request.uri().path() {
-        "/api/ready" | "/api/telemetry" | RULES => Method::GET,
+        "/api/ready" | "/api/telemetry" | RULES | LIST => Method::GET,
         "/api/exclude" | "/api/include" => Method::POST,
         _ => return Err(StatusCode::NOT_FOUND),
     };
@@ -138,6 +141,10 @@
             let text = serde_json::to_string(&office.counts.rule_figures());
             Ok((StatusCode::OK, text.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?))
         }
+        LIST => {
+            let text = serde_json::to_string(&office.list_status.figures());
+            Ok((StatusCode::OK, text.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?))
+        }
         path => {
             let text = Limited::new(body, BODY_MOST).collect().await.map_err(|_| StatusCode::BAD_REQUEST)?;
             let named = serde_json::from_slice::<Named>(&text.to_bytes());
