--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod rare;
 mod rollout;
 mod sockets;
+mod stale_list;
 mod streams;
 mod supervise;
 mod support;
