A list is dated by who vouches for it: a new process sends by none before discovery answers

Cause: a lease began with the process, though the list of its configuration was as old as the process had been dead. Change: such a list vouches for nothing until discovery answers or can't be reached; one left in the folder has its age by the machine's clock since boot; SIGHUP renews nothing; the first call comes within a second, at once for what there is; a process is ready once its list is in force, after 5 s in any case; requests that come before wait a third of their time; what a full disk kept from being written is written later. A connection to discovery counts as not to be had only after 2 s with two more tries beside it.

--- a/crates/flintwell-list-watch/src/lease.rs
+++ b/crates/flintwell-list-watch/src/lease.rs
@@ -1,7 +1,8 @@
 //! Until when a list may be acted on.
 //!
-//! A list is a lease. What discovery has and could tell counts as told [`TOLD`] later, whether or not it arrived. So an answer
-//! vouches for the list for that long, from the moment at which it was surely not older than discovery's own state.
+//! A list is a lease. What discovery has and could tell counts as told [`TOLD`] later, whether or not it arrived. So whoever
+//! vouches for a list does so for that long, from the moment at which it was surely not older than discovery's own state. That
+//! moment is never when the list was received, read from a file, or when the process began.
 
 use crate::Micros;
 
@@ -11,16 +12,16 @@
 /// On whose word the list in hand may be acted on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Basis {
-    /// The process was given it at its start.
-    Given,
+    /// Nobody's: its age is not known.
+    Unconfirmed,
+    /// An earlier process of this proxy had it confirmed, and left it with its age.
+    Kept,
     /// Discovery has answered.
     Answer,
     /// No connection to discovery came up, so nothing that it has counts.
     Unreachable,
     /// Discovery refused after some time, as one that is down behind a balancer does.
     LateRefusal,
-    /// Discovery's address has changed.
-    Moved,
 }
 
 /// The lease on the list in hand. What discovery changes after `renewed_at` may be unknown to us, and counts from the lease's
@@ -30,37 +31,46 @@
 /// callers. It puts off the lease's end by [`TOLD`] at most, however many there are, so a short outage stops nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
-    /// When discovery's state was known, or it could surely not be reached.
-    sure_at: Micros,
-    renewed_at: Micros,
+    /// When discovery's state was known, or it could surely not be reached; none for a list of unknown age.
+    confirmed_at: Option<Micros>,
+    /// None: the list was never in force.
+    renewed_at: Option<Micros>,
+    /// Refusals in doubt count from then on where nobody has confirmed the list.
+    began_at: Micros,
     basis: Basis,
 }
 
 impl Lease {
-    /// Of a process that begins with a list that it was given. It may act on that for `hold` while no call has failed (the
-    /// protocol page's time to ask within), since a large fleet's first calls take discovery some time.
-    pub fn begins(now: Micros, hold: Micros) -> Self {
-        Lease { sure_at: now, renewed_at: now + (hold - TOLD).max(0), basis: Basis::Given }
+    /// Of a process that begins at `now` with a list of unknown age. Danger: it is as old as the process was dead at least, and
+    /// what has changed meanwhile may count from its first moment on.
+    pub fn unconfirmed(now: Micros) -> Self {
+        Lease { confirmed_at: None, renewed_at: None, began_at: now, basis: Basis::Unconfirmed }
     }
 
-    /// The first call has failed, and what holds after failed calls holds from now on.
-    pub fn first_call_failed(&mut self) {
-        self.renewed_at = self.sure_at;
+    /// Of a process that begins at `now` with a list that was confirmed at `confirmed_at`, before it began.
+    pub fn kept(now: Micros, confirmed_at: Micros) -> Self {
+        if confirmed_at > now {
+            return Lease::unconfirmed(now);
+        }
+        let confirmed_at = Some(confirmed_at);
+        Lease { confirmed_at, renewed_at: confirmed_at, began_at: now, basis: Basis::Kept }
     }
 
     /// Discovery's state as of `at` is known, or discovery could not be reached at `at`.
     pub fn renew(&mut self, at: Micros, basis: Basis) {
-        self.sure_at = self.sure_at.max(at);
-        if at > self.renewed_at {
-            (self.renewed_at, self.basis) = (at, basis);
-        }
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.renew_from(at, basis);
     }
 
     /// Discovery may not have been reached at `at`.
     pub fn renew_in_doubt(&mut self, at: Micros) {
-        let at = at.min(self.sure_at + TOLD);
-        if at > self.renewed_at {
-            (self.renewed_at, self.basis) = (at, Basis::LateRefusal);
+        let latest = self.confirmed_at.unwrap_or(self.began_at) + TOLD;
+        self.renew_from(at.min(latest), Basis::LateRefusal);
+    }
+
+    fn renew_from(&mut self, at: Micros, basis: Basis) {
+        if self.renewed_at.is_none_or(|renewed_at| at > renewed_at) {
+            (self.renewed_at, self.basis) = (Some(at), basis);
         }
     }
 
@@ -69,18 +79,23 @@
         self.basis
     }
 
-    /// How long ago the list was surely not older than discovery's own state.
-    pub fn age(self, now: Micros) -> Micros {
-        now - self.sure_at
+    /// When the list was surely not older than discovery's own state; none if that is not known.
+    pub fn confirmed_at(self) -> Option<Micros> {
+        self.confirmed_at
+    }
+
+    /// From when on nothing may be sent by this list; none if nothing ever might.
+    pub fn ends_at(self) -> Option<Micros> {
+        self.renewed_at.map(|renewed_at| renewed_at + TOLD)
     }
 
-    /// From when on nothing may be sent by this list.
-    pub fn ends_at(self) -> Micros {
-        self.renewed_at + TOLD
+    /// How much is left of it at `now`; not positive once it is over, or where it never held.
+    pub fn left(self, now: Micros) -> Micros {
+        self.ends_at().map_or(0, |ends_at| ends_at - now)
     }
 
     /// Whether a request may be sent by this list now.
     pub fn holds(self, now: Micros) -> bool {
-        now < self.ends_at()
+        self.left(now) > 0
     }
 }
--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -17,7 +17,7 @@
 const PATIENCE_LEAST: Micros = 800_000; // us; the same just after a watch fell silent, whose answer may be lost as well
 const PATIENCE_MOST: Micros = 32_000_000; // us; more than a discovery takes that serves the fleet once in 30 s
 const PATIENCE_SHARE: Micros = 10; // patience is at least this part of the time for which calls have failed
-const SPREAD_ANYWAY: u32 = 100; // proxies whose first calls come over longer than a first frame without a slot
+const FIRST_CALL_FRAME: Micros = 1_000_000; // us; the most over which processes that start as one call first
 const AGAIN: Micros = 50_000; // us; the least pause after a connection that did not come up, or a second silence
 const AGAIN_MOST: Micros = 400_000; // us; the longest: a discovery that returns is noticed so soon
 const LOCAL: Micros = 20_000; // us; the least pause after a fault of our own system
@@ -35,8 +35,6 @@
     pub index: u32,
     /// From when a drain counts as told until nothing new may go there.
     pub grace: Micros,
-    /// How long a process may act on the list that it began with while none of its calls has failed.
-    pub hold: Micros,
 }
 
 /// A call of discovery.
@@ -53,8 +51,6 @@
     figures: Figures,
     rng: ChaCha8Rng,
     lease: Lease,
-    /// No call has been answered or has failed.
-    starting: bool,
     failures: Failures,
     last_failure: Option<Failure>,
     called_at: Micros,
@@ -68,12 +64,12 @@
 }
 
 impl Watch {
-    pub fn new(now: Micros, figures: Figures, seed: u64) -> Self {
+    /// Of a process that begins at `now` with a list under this lease.
+    pub fn new(now: Micros, figures: Figures, lease: Lease, seed: u64) -> Self {
         Watch {
             figures,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            lease: Lease::begins(now, figures.hold),
-            starting: true,
+            lease,
             failures: Failures::default(),
             last_failure: None,
             called_at: now,
@@ -94,9 +90,11 @@
         self.lease
     }
 
-    /// When the first call is due, of a proxy whose module asks for the list now.
+    /// When the first call is due, of a process that begins now. Danger: a process may restart alone, and waits for this call;
+    /// where a whole fleet starts as one, discovery refuses what it has no room for, and frames grow by that.
     pub fn first(&self, now: Micros) -> Micros {
-        if self.figures.fleet >= SPREAD_ANYWAY { now } else { self.slot(now) }
+        let frame = self.place().first_frame().min(FIRST_CALL_FRAME);
+        if self.figures.pushed || frame == 0 { now } else { self.place().slot(now, frame) }
     }
 
     /// When a call is due that all proxies may have to make now: at a new place, or after an outage.
@@ -121,7 +119,7 @@
     pub fn call(&mut self, now: Micros, whole: bool) -> Call {
         self.called_at = now;
         // Danger: after a standstill of ours an answer vouches for a time long past, and a watch would outlast the lease.
-        let outlasts = self.lease.ends_at() - now <= WAIT_MOST + LATE;
+        let outlasts = self.lease.left(now) <= WAIT_MOST + LATE;
         if !self.doubt && !whole && !outlasts {
             // Danger: what a watch misses that falls silent is not known before its wait is over, and counts meanwhile; and
             // waits of one length end as one where they began as one, after a change or a start.
@@ -130,7 +128,7 @@
         }
         let within = match (self.failures.count, self.last_failure) {
             // This one may be lost as well, so there has to be time for another.
-            (1, Some(Failure::Silent)) => ((self.lease.ends_at() - now) / 2).clamp(PATIENCE_LEAST, PATIENCE),
+            (1, Some(Failure::Silent)) => (self.lease.left(now) / 2).clamp(PATIENCE_LEAST, PATIENCE),
             // Danger: whoever leaves a busy discovery's queue before its turn has cost it a call and has nothing. Patience that
             // shrank as the list grew older ended below the wait of a full queue, and a whole fleet was never told again.
             _ => (self.failures.age(now) / PATIENCE_SHARE).clamp(PATIENCE, PATIENCE_MOST),
@@ -166,9 +164,6 @@
         }
         let (refused, took) = (failure == Failure::Refused, now - self.called_at);
         let waited = refused && queued(took, self.dial);
-        if std::mem::take(&mut self.starting) {
-            self.lease.first_call_failed();
-        }
         if refused && doubtful(took, self.dial) {
             self.lease.renew_in_doubt(self.called_at);
         }
@@ -192,9 +187,9 @@
         }
     }
 
-    /// Discovery is elsewhere from now on, and nothing has failed there yet.
-    pub fn moved(&mut self, now: Micros) {
-        self.lease.renew(now, Basis::Moved);
+    /// Discovery is elsewhere from now on, and nothing has failed there yet. Danger: the move tells nothing of the list, which
+    /// stays as old as it is.
+    pub fn moved(&mut self) {
         self.unreachable = false;
         self.well();
     }
@@ -203,7 +198,6 @@
         self.failures.forget();
         self.last_failure = None;
         self.doubt = false;
-        self.starting = false;
     }
 
     fn place(&self) -> Place {
@@ -212,7 +206,7 @@
 
     /// Our slot within what is left of the lease.
     fn slot_within(&self, now: Micros) -> Micros {
-        self.place().slot(now, frame_within(self.place(), self.lease.ends_at() - now))
+        self.place().slot(now, frame_within(self.place(), self.lease.left(now)))
     }
 
     fn pause_unreachable(&mut self) -> Micros {
--- a/crates/flintwell/src/fleet/calls.rs
+++ b/crates/flintwell/src/fleet/calls.rs
@@ -7,15 +7,18 @@
 use flintwell_core::interface::Micros;
 use flintwell_list_watch::Failure;
 use flintwell_settings::listing::Listing;
+use futures_util::future::select_all;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::{AbortHandle, JoinSet};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
-const DIAL: Duration = Duration::from_millis(500); // for a connection to come up; far above any way there
+const DIAL: Duration = Duration::from_secs(2); // for a connection to come up; a lost SYN is sent again after one second
+const DIAL_AGAIN: Duration = Duration::from_millis(500); // until a further one is tried beside it
+const DIALS: u32 = 3; // tried at the same time
 const READY: Duration = Duration::from_millis(50); // for the last exchange on a connection to be over
 const LIST_MOST: u64 = 4 << 20; // bytes; a list of ten thousand nodes
 const OPEN_MOST: usize = 4; // calls that are open at the same time; each holds a descriptor of the process's own few
@@ -87,9 +90,7 @@
             };
             let connected = match ready {
                 Some(link) => Ok(link),
-                None => timeout(DIAL, Link::dial(addr, None)).await.unwrap_or_else(|_| {
-                    Err(Broken::unwritten(Cause::Unreachable("nothing came in time".into())))
-                }),
+                None => dial(addr).await,
             };
             Ended::Connected(connected.map_err(CallError::of))
         });
@@ -146,6 +147,20 @@
     }
 }
 
+/// A new connection. Danger: one that is slow, or whose SYN is lost, would pass for a discovery that can't be reached, and its
+/// list would be acted on for longer than it may; so others are tried beside it before that is said.
+async fn dial(addr: SocketAddr) -> Result<Link, Broken> {
+    let tries = (0..DIALS).map(|n| {
+        Box::pin(async move {
+            sleep(DIAL_AGAIN * n).await;
+            Link::dial(addr, None).await
+        })
+    });
+    let first = async { select_all(tries).await.0 };
+    let nothing_came = |_| Err(Broken::unwritten(Cause::Unreachable("nothing came in time".into())));
+    timeout(DIAL, first).await.unwrap_or_else(nothing_came)
+}
+
 async fn exchange(link: &mut Link, since: Option<u64>, wait: Micros) -> Result<Listing, CallError> {
     let progress = Progress::default();
     let garbage =
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -1,6 +1,5 @@
 //! Keeps the list of nodes: calls discovery, decodes what it tells, and passes it on. When each call is due, how long it may
-//! take and for how long the list may be acted on is decided by `flintwell-list-watch`; where the list has to be asked for,
-//! the module says when it is first needed.
+//! take and for how long the list may be acted on is decided by `flintwell-list-watch`.
 
 use crate::fleet::calls::{Answer, CallError, CallNumber, Calls, Ended};
 use crate::fleet::lease::ListLease;
@@ -14,7 +13,7 @@
 use flintwell_settings::listing::Listing;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::sleep_until;
 
 const PACE: Micros = 100_000; // us; between empty answers; well under what ends a watch
@@ -44,8 +43,6 @@
     registry: Rc<Registry>,
     lease: Rc<ListLease>,
     status: Rc<ListStatus>,
-    /// The module asks for the list first; else it is watched from the start.
-    wanted: Option<Rc<Notify>>,
     watch: Watch,
     calls: Calls,
     /// Of the list last had; none from where we ask now.
@@ -64,7 +61,6 @@
         registry: Rc<Registry>,
         lease: Rc<ListLease>,
         status: Rc<ListStatus>,
-        wanted: Option<Rc<Notify>>,
         watch: Watch,
         calls: Calls,
     ) -> Self {
@@ -73,7 +69,6 @@
             registry,
             lease,
             status,
-            wanted,
             watch,
             calls,
             version: None,
@@ -88,13 +83,13 @@
         self.tell(known, ListKind::Kept);
     }
 
-    /// Calls from when the module first asks for the list, for good: each next call is due when `flintwell-list-watch` says.
+    /// Calls for good, from the process's start: each call is due when `flintwell-list-watch` says.
     pub async fn watch(&mut self, dispatcher: &Dispatcher) {
         let mut moves = self.addr.clone();
         // Started again after a panic, nothing of before is waited for.
         self.calls.give_up();
         self.link = None;
-        let mut phase = self.first_phase(dispatcher, &mut moves).await;
+        let mut phase = Phase::Pausing(self.watch.first(dispatcher.clock.now()));
         loop {
             phase = match self.next_event(dispatcher, &mut moves, &phase).await {
                 // Danger: the old discovery would keep us waiting for what only the new one tells.
@@ -105,19 +100,6 @@
         }
     }
 
-    async fn first_phase(
-        &mut self,
-        dispatcher: &Dispatcher,
-        moves: &mut watch::Receiver<SocketAddr>,
-    ) -> Phase {
-        let Some(wanted) = self.wanted.take() else { return self.pauses_for_slot(dispatcher) };
-        tokio::select! {
-            () = wanted.notified() => Phase::Pausing(self.watch.first(dispatcher.clock.now())),
-            // What it has to tell there counts as told within seconds.
-            Ok(()) = moves.changed() => self.moved(dispatcher),
-        }
-    }
-
     fn pauses_for_slot(&self, dispatcher: &Dispatcher) -> Phase {
         Phase::Pausing(self.watch.slot(dispatcher.clock.now()))
     }
@@ -150,8 +132,7 @@
         self.version = None;
         self.link = None;
         self.calls.give_up();
-        self.watch.moved(dispatcher.clock.now());
-        self.shares_lease();
+        self.watch.moved();
         self.pauses_for_slot(dispatcher)
     }
 
@@ -236,11 +217,11 @@
             self.calls.give_up();
             self.watch.answered_late(as_of);
         }
+        self.status.answered(now, listing.version);
         self.shares_lease();
         self.link = Some(link);
         let kind = if listing.full { ListKind::Whole } else { ListKind::Changes };
         self.tell(&listing, kind);
-        self.status.answered(now, listing.version);
         // Danger: a watch that does not wait would be asked without a pause.
         let at_once = current && listing.is_empty() && now - self.called_at < PACE;
         Phase::Pausing(if at_once { now + PACE } else { now })
--- a/crates/flintwell/src/fleet/list_status.rs
+++ b/crates/flintwell/src/fleet/list_status.rs
@@ -40,8 +40,8 @@
     in_force: bool,
     /// On whose word.
     basis: String,
-    /// How long ago discovery surely had no newer one.
-    age_s: f64,
+    /// How long ago discovery surely had no newer one; none if nobody knows.
+    age_s: Option<f64>,
     /// From the start to the first call of discovery, and to its first answer; none if that has not come.
     first_call_s: Option<f64>,
     first_answer_s: Option<f64>,
@@ -55,7 +55,8 @@
     /// Of a process that begins with this list.
     pub fn start(lease: Rc<ListLease>, now: Micros, source: Source, list: &Listing) -> Rc<Self> {
         let (version, servers) = (list.version, list.len());
-        say!("begins with list {version} of {servers} servers from the {source:?}");
+        let age = lease.age().map_or("of unknown age".to_owned(), |age| format!("{:.3} s old", seconds(age)));
+        say!("begins with list {version} of {servers} servers from the {source:?}, {age}");
         let status = ListStatus {
             lease,
             started_at: now,
@@ -100,7 +101,7 @@
             source: self.source,
             in_force: self.lease.holds(),
             basis: format!("{:?}", self.lease.basis()),
-            age_s: seconds(self.lease.age()),
+            age_s: self.lease.age().map(seconds),
             first_call_s: self.first_call_at.get().map(since_start),
             first_answer_s: self.first_answer_at.get().map(since_start),
         }
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 pub mod calls;
 pub mod discovery;
 pub mod lease;
+pub mod list_age;
 pub mod list_status;
 pub mod registry;
 pub mod words;
--- a/crates/flintwell/src/fleet/registry.rs
+++ b/crates/flintwell/src/fleet/registry.rs
@@ -1,6 +1,7 @@
 //! The list as it is told to the module and the pool: discovery's word, with the operators' laid over it.
 
 use crate::fleet::lease::ListLease;
+use crate::fleet::list_age::{BootClock, Confirmation};
 use crate::nodes::pool::Pool;
 use crate::process::count::{Count, one_more};
 use crate::process::live::Live;
@@ -13,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -21,6 +23,7 @@
 const HANDS_MOST: usize = 1_024; // nodes out or lately back; far above what staff takes out by hand
 const FORGOTTEN: f64 = 600_000.0; // ms; after a node was put back; far longer than any takes to warm up
 const LIST: &str = "list"; // the name of the list's file
+const CONFIRMATION: &str = "list-confirmed"; // the name of the file that tells how old that list is
 const MARK: &str = "out-"; // begins the name of a node's file
 
 /// What the operators said of a node last: when it was taken out, and when it was put back, if it was.
@@ -53,8 +56,33 @@
     lapsed: Cell<bool>,
     /// How often that came.
     lapses: Count,
-    /// Of the list, where it has changed since it was kept for a successor.
-    unkept: Cell<Option<u64>>,
+    /// Tells how old the list is that we leave; none where the system has no such clock.
+    boot_clock: Option<BootClock>,
+    /// Of the list that discovery told last.
+    version: Cell<Option<u64>>,
+    /// The list has changed since it was kept for a successor.
+    unkept: Cell<bool>,
+    /// Of the list as it is kept: its version, and until when it was confirmed.
+    kept: Cell<Option<(u64, Micros)>>,
+    /// The last try to keep it failed, and that was told.
+    keeping_fails: Cell<bool>,
+}
+
+/// The list that an earlier process left.
+pub struct Left {
+    pub listing: Listing,
+    /// How long ago discovery confirmed it; none if that is not known.
+    pub age: Option<Micros>,
+}
+
+/// Reads what an earlier process of this proxy left.
+pub fn left(store: &Store, boot_clock: Option<&BootClock>) -> Option<Left> {
+    let read = serde_json::from_slice::<Listing>(&store.read(LIST)?).map_err(|error| say!("{LIST}: {error}"));
+    let listing = read.ok().filter(|listing| listing.full)?;
+    let confirmation = store.read(CONFIRMATION);
+    let confirmation = confirmation.and_then(|text| serde_json::from_slice::<Confirmation>(&text).ok());
+    let age = boot_clock.zip(confirmation).and_then(|(clock, told)| clock.age(listing.version, &told));
+    Some(Left { listing, age })
 }
 
 impl Registry {
@@ -65,9 +93,11 @@
         dispatcher: Rc<Dispatcher>,
         store: Store,
         lease: Rc<ListLease>,
+        boot_clock: Option<BootClock>,
         lapses: Count,
     ) -> Rc<Self> {
         let hands = RefCell::new(recorded(&store));
+        let lapsed = Cell::new(!lease.holds());
         Rc::new(Registry {
             network,
             origin_kind,
@@ -77,9 +107,13 @@
             lines: RefCell::default(),
             hands,
             lease,
-            lapsed: Cell::new(false),
+            lapsed,
             lapses,
-            unkept: Cell::new(None),
+            boot_clock,
+            version: Cell::default(),
+            unkept: Cell::default(),
+            kept: Cell::default(),
+            keeping_fails: Cell::default(),
         })
     }
 
@@ -98,7 +132,8 @@
             }
         }
         if kind != ListKind::Kept {
-            self.unkept.set(Some(listing.version));
+            self.version.set(Some(listing.version));
+            self.unkept.set(true);
         }
         if self.lapsed.get() && self.lease.holds() {
             // Danger: told one by one, what did not change would stay closed; told before what changed was taken in, the
@@ -134,21 +169,37 @@
         self.tell_again(&[]);
     }
 
-    /// The list that a forerunner of ours had last, if it left one.
-    pub fn left(&self) -> Option<Listing> {
-        let text = self.store.read(LIST)?;
-        let read = serde_json::from_slice::<Listing>(&text).map_err(|error| say!("{LIST}: {error}"));
-        read.ok().filter(|listing| listing.full)
+    /// Leaves the list to a successor, with its age. What can't be written now is written once it can be.
+    fn leave(&self) {
+        let written = self.leave_list().and_then(|()| self.leave_confirmation());
+        let failed = written.is_err();
+        if self.keeping_fails.replace(failed) != failed {
+            match written {
+                Err(error) => say!("{LIST} not kept, and tried again until it can be: {error}"),
+                Ok(()) => say!("{LIST} is kept again"),
+            }
+        }
     }
 
-    /// Leaves the list to a successor.
-    fn leave(&self) {
-        let Some(version) = self.unkept.take() else { return };
+    fn leave_list(&self) -> io::Result<()> {
+        let Some(version) = self.version.get().filter(|_| self.unkept.get()) else { return Ok(()) };
         let servers = self.lines.borrow().values().cloned().collect();
-        let text = serde_json::to_vec(&Listing { version, full: true, servers });
-        if let Ok(Err(error)) = text.map(|text| self.store.write(LIST, &text)) {
-            say!("{LIST} not kept: {error}");
+        let text = serde_json::to_vec(&Listing { version, full: true, servers })?;
+        self.store.write(LIST, &text)?;
+        self.unkept.set(false);
+        Ok(())
+    }
+
+    fn leave_confirmation(&self) -> io::Result<()> {
+        let Some(clock) = &self.boot_clock else { return Ok(()) };
+        let Some((version, at)) = self.version.get().zip(self.lease.confirmed_at()) else { return Ok(()) };
+        if self.kept.get() == Some((version, at)) {
+            return Ok(());
         }
+        let ago = self.lease.age().unwrap_or_default();
+        self.store.write(CONFIRMATION, &serde_json::to_vec(&clock.confirms(version, ago))?)?;
+        self.kept.set(Some((version, at)));
+        Ok(())
     }
 
     fn tell(&self, lines: &[Line], kind: ListKind) {
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -6,8 +6,9 @@
 use crate::fleet::calls::Calls;
 use crate::fleet::discovery::Discovery;
 use crate::fleet::lease::ListLease;
+use crate::fleet::list_age::BootClock;
 use crate::fleet::list_status::{ListStatus, Source};
-use crate::fleet::registry::Registry;
+use crate::fleet::registry::{self, Left, Registry};
 use crate::fleet::words::Words;
 use crate::nodes::attempt::Attempts;
 use crate::nodes::permission::Permission;
@@ -28,7 +29,7 @@
 use crate::staff::counts::Counts;
 use crate::staff::management::{self, Office};
 use crate::staff::rollout::Rollout;
-use flintwell_list_watch::{Figures, Watch as ListWatch};
+use flintwell_list_watch::{Figures, Lease, Watch as ListWatch};
 use flintwell_rollout::member::Member;
 use flintwell_settings::{decode, decode_network};
 use flintwell_state::Disk;
@@ -131,24 +132,32 @@
     let counts = Counts::new(&config.network.classes, changes.is_some());
     let pool = Pool::new(connections, config.network.dial_within, config.network.idle_most);
     let network = Live::new(config.network);
-    let list_wanted = Rc::new(Notify::new());
     let place = (config.settings.index, config.settings.fleet_size);
     let pushed = !config.settings.list_on_request;
-    let hold = if pushed { 0 } else { config.settings.ask_within };
     let (index, fleet, grace) = (place.0, place.1, network.get().drain_grace);
-    let figures = Figures { pushed, fleet, index, grace, hold };
-    let asked = config.settings.list_on_request.then(|| list_wanted.clone());
+    let figures = Figures { pushed, fleet, index, grace };
     let origin_kind = config.settings.origin_kind;
     let (clock, seed) = (Clock::start(), config.seed);
     let watch = config.watch_with.map(|other| Rc::new(Watch::new(clock.now(), other, seed)));
-    let dispatcher =
-        Rc::new(Dispatcher::new(clock, config.settings, seed, list_wanted, pool.clone(), watch.clone()));
+    let dispatcher = Rc::new(Dispatcher::new(clock, config.settings, seed, pool.clone(), watch.clone()));
     if let Some(watch) = watch {
         spawn_local(lasting("watch", async move || watch.tell().await));
     }
     let succession = Succession::open(store.clone(), dispatcher.clock.now());
     let succession = Rc::new(succession.map_err(|e| format!("folder for temporary files: {e}"))?);
-    let list_watch = ListWatch::new(clock.now(), figures, seed);
+    let boot_clock = BootClock::open();
+    let left = registry::left(&store, boot_clock.as_ref());
+    let (source, begins_with, age) = match left {
+        Some(Left { listing, age }) => (Source::Folder, listing, age),
+        None => (Source::Configuration, config.known, None),
+    };
+    let now = clock.now();
+    let list_watch = ListWatch::new(
+        now,
+        figures,
+        age.map_or(Lease::unconfirmed(now), |age| Lease::kept(now, now - age)),
+        seed,
+    );
     let lease = ListLease::new(clock, list_watch.lease());
     let registry = Registry::new(
         network.clone(),
@@ -157,25 +166,20 @@
         dispatcher.clone(),
         store,
         lease.clone(),
+        boot_clock,
         counts.lapses.clone(),
     );
     let (moves, discovery_at) = watch::channel(config.discovery);
-    let left = registry.left();
-    let (source, begins_with) = match &left {
-        Some(left) => (Source::Folder, left),
-        None => (Source::Configuration, &config.known),
-    };
-    let list_status = ListStatus::start(lease.clone(), clock.now(), source, begins_with);
+    let list_status = ListStatus::start(lease.clone(), now, source, &begins_with);
     let mut discovery = Discovery::new(
         discovery_at,
         registry.clone(),
         lease.clone(),
         list_status.clone(),
-        asked,
         list_watch,
         Calls::new(clock),
     );
-    discovery.start(begins_with);
+    discovery.start(&begins_with);
     let watched = dispatcher.clone();
     spawn_local(lasting("discovery", async move || discovery.watch(&watched).await));
     let leased = registry.clone();
@@ -238,8 +242,10 @@
         });
     }
     if let Some(listener) = management {
-        let (counts, dispatcher, shutdown) = (counts.clone(), dispatcher.clone(), shutdown.clone());
-        let office = Rc::new(Office { counts, dispatcher, registry, list_status, shutdown, rollout, words });
+        let (counts, dispatcher) = (counts.clone(), dispatcher.clone());
+        let (lease, shutdown) = (lease.clone(), shutdown.clone());
+        let office =
+            Rc::new(Office { counts, dispatcher, registry, list_status, lease, shutdown, rollout, words });
         let answering = async move || management::answer(&listener, &office).await;
         spawn_local(lasting("second address", answering));
     }
@@ -253,12 +259,12 @@
             Err(error) => say!("long answers can't be taken over: {error}"),
         }
     }
-    let permission = Permission { pool, lease, violations: counts.violations.clone() };
+    let permission = Permission { pool, lease: lease.clone(), violations: counts.violations.clone() };
     let attempts = Attempts::new(permission, counts.clone(), Budget::new(config.answers));
     let budget = Budget::new(config.bodies);
     let longest_now = network.clone();
     let front =
-        Front { dispatcher, attempts, counts, network, budget, shutdown, client: Presence::default() };
+        Front { dispatcher, attempts, counts, network, budget, lease, shutdown, client: Presence::default() };
     let at = listener.local_addr().map_err(|e| format!("listen {}: {e}", config.listen))?;
     succession.serves().map_err(|e| format!("folder for temporary files: {e}"))?;
     say!("{} serves on {at}", config.name);
--- a/crates/flintwell/src/requests/dispatcher.rs
+++ b/crates/flintwell/src/requests/dispatcher.rs
@@ -39,7 +39,6 @@
     places: RefCell<HashMap<RequestId, Rc<Place>>>,
     timers: RefCell<BTreeSet<(Micros, u64)>>,
     timer_set: Notify,
-    list_wanted: Rc<Notify>,
     pool: Rc<Pool>,
     watch: Option<Rc<Watch>>,
 }
@@ -83,9 +82,8 @@
         self.0.timers.borrow_mut().insert((at, label));
         self.0.timer_set.notify_one();
     }
-    fn watch_list(&mut self) {
-        self.0.list_wanted.notify_one();
-    }
+    /// It is watched from the process's start, whenever the module would ask for it.
+    fn watch_list(&mut self) {}
 }
 
 pub struct Dispatcher {
@@ -100,7 +98,6 @@
         clock: Clock,
         settings: Settings,
         seed: u64,
-        list_wanted: Rc<Notify>,
         pool: Rc<Pool>,
         watch: Option<Rc<Watch>>,
     ) -> Self {
@@ -108,7 +105,6 @@
             places: RefCell::default(),
             timers: RefCell::default(),
             timer_set: Notify::new(),
-            list_wanted,
             pool,
             watch,
         });
--- a/crates/flintwell/src/requests/front.rs
+++ b/crates/flintwell/src/requests/front.rs
@@ -5,6 +5,7 @@
 use crate::clients::decode::ClientRequest;
 use crate::clients::framing::Framing;
 use crate::clients::presence::Presence;
+use crate::fleet::lease::ListLease;
 use crate::nodes::attempt::Attempts;
 use crate::nodes::relay::Content;
 use crate::process::live::Live;
@@ -30,6 +31,7 @@
     pub counts: Rc<Counts>,
     pub network: Rc<Live<Network>>,
     pub budget: Rc<Budget>,
+    pub lease: Rc<ListLease>,
     pub shutdown: Shutdown,
     /// Of the connection that it serves.
     pub client: Presence,
@@ -38,7 +40,8 @@
 impl Front {
     async fn answer(&self, request: Request<Incoming>, framing: Framing) -> Answer {
         if request.uri().path() == "/health/ready" {
-            return Answer::Ready(!self.shutdown.begun());
+            // Danger: clients that come before any list is in force are refused, where others could serve them.
+            return Answer::Ready(self.lease.ready() && !self.shutdown.begun());
         }
         let client = self.client.clone();
         match ClientRequest::decode(request, framing, &self.network.get(), &self.budget, client).await {
@@ -48,7 +51,9 @@
                 answer.end().inspect(|&end| self.counts.ended(request.class, end));
                 answer
             }
-            Ok(request) => request::serve(request, &self.dispatcher, &self.attempts, &self.counts).await,
+            Ok(request) => {
+                request::serve(request, &self.dispatcher, &self.lease, &self.attempts, &self.counts).await
+            }
             Err(malformed) => Answer::Malformed(malformed),
         }
     }
--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -2,9 +2,11 @@
 
 use crate::clients::answer::Answer;
 use crate::clients::decode::ClientRequest;
+use crate::fleet::lease::ListLease;
 use crate::nodes::attempt::{Attempt, Attempts};
 use crate::nodes::link::Cause;
 use crate::nodes::relay::Content;
+use crate::process::clock::span;
 use crate::process::count::one_more;
 use crate::requests::dispatcher::{Dispatcher, RequestHandle, Step};
 use crate::staff::counts::Counts;
@@ -13,9 +15,13 @@
 use std::time::Instant;
 use tower::ServiceExt;
 
+const LIST_WAIT_PARTS: Micros = 3; // a new process waits for its list for one of so many parts of what a request has left
+const LIST_WAIT_MOST: Micros = 1_000_000; // us; the longest
+
 pub async fn serve(
     request: ClientRequest,
     dispatcher: &Rc<Dispatcher>,
+    lease: &ListLease,
     attempts: &Attempts,
     counts: &Rc<Counts>,
 ) -> Answer {
@@ -23,6 +29,8 @@
     let Some(mut handle) = dispatcher.handle(request.id.clone()) else { return Answer::InHand };
     // Danger: what waits while the process stands still is read late; counted from then on, it would look quick.
     let began = dispatcher.pulse.waited_from();
+    let wait = (request.deadline(began) - dispatcher.clock.now()) / LIST_WAIT_PARTS;
+    lease.first_in_force(span(wait.min(LIST_WAIT_MOST))).await;
     let mut answer = decide(request, began, &mut handle, dispatcher, attempts, counts).await;
     counts.took(dispatcher.clock.now() - began);
     answer.end().inspect(|&end| counts.ended(case, end));
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -1,5 +1,6 @@
 //! The second address: what the operators' staff asks and says, one call to a connection.
 
+use crate::fleet::lease::ListLease;
 use crate::fleet::list_status::ListStatus;
 use crate::fleet::registry::{Refused, Registry};
 use crate::fleet::words::Words;
@@ -38,6 +39,7 @@
     pub dispatcher: Rc<Dispatcher>,
     pub registry: Rc<Registry>,
     pub list_status: Rc<ListStatus>,
+    pub lease: Rc<ListLease>,
     pub shutdown: Shutdown,
     /// Changes of settings, where the configuration says how.
     pub rollout: Option<Rc<Rollout>>,
@@ -128,9 +130,9 @@
     }
     let (head, body) = request.into_parts();
     match head.uri.path() {
-        "/api/ready" => match office.shutdown.begun() {
-            false => Ok((StatusCode::OK, r#"{"ready":true}"#.into())),
-            true => Ok((StatusCode::SERVICE_UNAVAILABLE, r#"{"ready":false}"#.into())),
+        "/api/ready" => match office.lease.ready() && !office.shutdown.begun() {
+            true => Ok((StatusCode::OK, r#"{"ready":true}"#.into())),
+            false => Ok((StatusCode::SERVICE_UNAVAILABLE, r#"{"ready":false}"#.into())),
         },
         "/api/telemetry" => {
             let figures = office.counts.figures(office.registry.known(), office.dispatcher.avoided());
--- a/crates/flintwell/tests/process/stale_list.rs
+++ b/crates/flintwell/tests/process/stale_list.rs
@@ -147,3 +147,81 @@
     let late = *heard_late.lock().expect("no panic");
     assert_eq!(late, 0, "requests to the server that had left, by processes younger than its end");
 }
+
+/// What an earlier process of this proxy left, with its age, is acted on at once, and for no longer than its age allows.
+#[test]
+fn a_list_left_by_an_earlier_process_serves_at_once_for_what_is_left_of_its_time() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (cache, origin) = (Server::start(|_, _| Does::Answers(200, "kept")), misses());
+    let silent = Arc::new(AtomicBool::new(false));
+    let falls_silent = silent.clone();
+    let discovery = Server::start(move |_, _| match falls_silent.load(Ordering::SeqCst) {
+        true => Does::Hangs,
+        false => Does::HasNothingNew,
+    });
+    let mut config = config(cache.addr, origin.addr);
+    config["discovery"] = json!(discovery.addr.to_string());
+    let first = Proxy::start_in(&config, folder.path());
+    assert_eq!(first.client().ask("read", "k0").body, "kept");
+    thread::sleep(Duration::from_millis(500));
+    silent.store(true, Ordering::SeqCst);
+    drop(first);
+    let dead = Instant::now();
+    let second = Proxy::start_in(&config, folder.path());
+    assert_eq!(second.client().ask("read", "k1").body, "kept", "while what it may lack does not count");
+    thread::sleep(Duration::from_millis(6_200).saturating_sub(dead.elapsed()));
+    assert_eq!(second.client().ask("read", "k2").status(), 503, "older than any lease");
+    drop(second);
+    let third = Proxy::start_in(&config, folder.path());
+    assert_eq!(third.client().ask("read", "k3").status(), 503, "a start makes no list younger");
+}
+
+#[test]
+fn a_new_configuration_makes_no_list_younger() {
+    let (cache, origin) = (Server::start(|_, _| Does::Answers(200, "kept")), misses());
+    let silent = Server::start(|_, _| Does::Hangs);
+    let mut config = config(cache.addr, origin.addr);
+    let discovery = Server::start(|_, number| if number == 0 { Does::HasNothingNew } else { Does::Hangs });
+    config["discovery"] = json!(discovery.addr.to_string());
+    let proxy = Proxy::start(&config);
+    assert_eq!(proxy.client().ask("read", "k0").body, "kept");
+    let confirmed = Instant::now();
+    thread::sleep(Duration::from_secs(3));
+    config["discovery"] = json!(silent.addr.to_string());
+    std::fs::write(&proxy.file, config.to_string()).expect("written");
+    proxy.signal("-HUP");
+    soon("asked at the new place", || !silent.heard().is_empty());
+    assert_eq!(proxy.client().ask("read", "k1").body, "kept");
+    thread::sleep(Duration::from_millis(6_100).saturating_sub(confirmed.elapsed()));
+    assert_eq!(proxy.client().ask("read", "k2").status(), 503);
+}
+
+/// Clients are told to come once they can be served, and in any case soon enough for whoever waits for a restart.
+#[test]
+fn a_new_process_is_ready_once_it_has_a_list_or_has_waited_for_some_seconds() {
+    let (cache, origin) = (misses(), misses());
+    let slow = Server::start(|_, number| match number {
+        0 => Does::Waits(Duration::from_secs(1), r#"{"version":1,"full":false,"servers":[]}"#),
+        _ => Does::HasNothingNew,
+    });
+    let silent = Server::start(|_, _| Does::Hangs);
+    for (discovery, from, to) in [(slow.addr, 900, 2_000), (silent.addr, 4_500, 6_000)] {
+        let mut config = config(cache.addr, origin.addr);
+        config["discovery"] = json!(discovery.to_string());
+        let (config, at) = managed(config);
+        let start = Instant::now();
+        let proxy = Proxy::start(&config);
+        let mut probe = proxy.client();
+        let mut ready = || {
+            probe.send("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+            probe.read().expect("an answer").status() == 200
+        };
+        while !ready() {
+            assert!(start.elapsed() < Duration::from_secs(20), "never ready");
+            thread::sleep(Duration::from_millis(20));
+        }
+        let took = start.elapsed().as_millis();
+        assert!((from..to).contains(&took), "ready after {took} ms");
+        assert_eq!(get(at, "/api/ready").0, 200);
+    }
+}
