--- a/crates/flintwell/src/fleet/lease.rs
+++ b/crates/flintwell/src/fleet/lease.rs
@@ -2,6 +2,7 @@
 //! for it directly before a request is sent (`nodes/permission.rs`).
 
 use crate::process::clock::Clock;
+use crate::process::count::{Count, one_more};
 use flintwell_core::interface::Micros;
 use flintwell_list_watch::{Basis, Lease};
 use std::cell::Cell;
@@ -21,10 +22,12 @@
     /// Whether it ever held, and who waits for that.
     was_in_force: Cell<bool>,
     first_in_force: Notify,
+    /// How often the list grew too old to act on.
+    lapses: Count,
 }
 
 impl ListLease {
-    pub fn new(clock: Clock, lease: Lease) -> Rc<Self> {
+    pub fn new(clock: Clock, lease: Lease, lapses: Count) -> Rc<Self> {
         let started_at = clock.now();
         Rc::new(ListLease {
             clock,
@@ -33,6 +36,7 @@
             renewed: Notify::new(),
             was_in_force: Cell::new(lease.holds(started_at)),
             first_in_force: Notify::new(),
+            lapses,
         })
     }
 
@@ -46,6 +50,11 @@
         }
     }
 
+    /// The list has grown too old to act on.
+    pub fn counts_lapse(&self) {
+        one_more(&self.lapses);
+    }
+
     /// Returns once the list was in force for the first time, or after so long.
     pub async fn first_in_force(&self, most: Duration) {
         let notified = self.first_in_force.notified();
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod discovery;
+pub mod kept_list;
 pub mod lease;
 pub mod list_age;
 pub mod list_status;
--- a/crates/flintwell/src/fleet/registry.rs
+++ b/crates/flintwell/src/fleet/registry.rs
@@ -1,9 +1,8 @@
 //! The list as it is told to the module and the pool: discovery's word, with the operators' laid over it.
 
+use crate::fleet::kept_list::KeptList;
 use crate::fleet::lease::ListLease;
-use crate::fleet::list_age::{BootClock, Confirmation};
 use crate::nodes::pool::Pool;
-use crate::process::count::{Count, one_more};
 use crate::process::live::Live;
 use crate::process::store::{Store, plain};
 use crate::requests::dispatcher::Dispatcher;
@@ -14,7 +13,6 @@
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -22,8 +20,6 @@
 const LOOK: Duration = Duration::from_millis(100); // between looks at what another process of ours was told
 const HANDS_MOST: usize = 1_024; // nodes out or lately back; far above what staff takes out by hand
 const FORGOTTEN: f64 = 600_000.0; // ms; after a node was put back; far longer than any takes to warm up
-const LIST: &str = "list"; // the name of the list's file
-const CONFIRMATION: &str = "list-confirmed"; // the name of the file that tells how old that list is
 const MARK: &str = "out-"; // begins the name of a node's file
 
 /// What the operators said of a node last: when it was taken out, and when it was put back, if it was.
@@ -54,35 +50,7 @@
     lease: Rc<ListLease>,
     /// The list is so old that nothing may be sent by it, and the module was told so.
     lapsed: Cell<bool>,
-    /// How often that came.
-    lapses: Count,
-    /// Tells how old the list is that we leave; none where the system has no such clock.
-    boot_clock: Option<BootClock>,
-    /// Of the list that discovery told last.
-    version: Cell<Option<u64>>,
-    /// The list has changed since it was kept for a successor.
-    unkept: Cell<bool>,
-    /// Of the list as it is kept: its version, and until when it was confirmed.
-    kept: Cell<Option<(u64, Micros)>>,
-    /// The last try to keep it failed, and that was told.
-    keeping_fails: Cell<bool>,
-}
-
-/// The list that an earlier process left.
-pub struct Left {
-    pub listing: Listing,
-    /// How long ago discovery confirmed it; none if that is not known.
-    pub age: Option<Micros>,
-}
-
-/// Reads what an earlier process of this proxy left.
-pub fn left(store: &Store, boot_clock: Option<&BootClock>) -> Option<Left> {
-    let read = serde_json::from_slice::<Listing>(&store.read(LIST)?).map_err(|error| say!("{LIST}: {error}"));
-    let listing = read.ok().filter(|listing| listing.full)?;
-    let confirmation = store.read(CONFIRMATION);
-    let confirmation = confirmation.and_then(|text| serde_json::from_slice::<Confirmation>(&text).ok());
-    let age = boot_clock.zip(confirmation).and_then(|(clock, told)| clock.age(listing.version, &told));
-    Some(Left { listing, age })
+    kept: KeptList,
 }
 
 impl Registry {
@@ -92,9 +60,8 @@
         pool: Rc<Pool>,
         dispatcher: Rc<Dispatcher>,
         store: Store,
+        kept: KeptList,
         lease: Rc<ListLease>,
-        boot_clock: Option<BootClock>,
-        lapses: Count,
     ) -> Rc<Self> {
         let hands = RefCell::new(recorded(&store));
         let lapsed = Cell::new(!lease.holds());
@@ -108,12 +75,7 @@
             hands,
             lease,
             lapsed,
-            lapses,
-            boot_clock,
-            version: Cell::default(),
-            unkept: Cell::default(),
-            kept: Cell::default(),
-            keeping_fails: Cell::default(),
+            kept,
         })
     }
 
@@ -132,8 +94,7 @@
             }
         }
         if kind != ListKind::Kept {
-            self.version.set(Some(listing.version));
-            self.unkept.set(true);
+            self.kept.told(listing.version);
         }
         if self.lapsed.get() && self.lease.holds() {
             // Danger: told one by one, what did not change would stay closed; told before what changed was taken in, the
@@ -160,7 +121,7 @@
             return;
         }
         if lapsed {
-            one_more(&self.lapses);
+            self.lease.counts_lapse();
             let over = self.lease.over_for() as f64 / 1e6;
             say!("the list could not be renewed in time ({over:.3} s ago): nothing is sent until it is");
         } else {
@@ -169,39 +130,6 @@
         self.tell_again(&[]);
     }
 
-    /// Leaves the list to a successor, with its age. What can't be written now is written once it can be.
-    fn leave(&self) {
-        let written = self.leave_list().and_then(|()| self.leave_confirmation());
-        let failed = written.is_err();
-        if self.keeping_fails.replace(failed) != failed {
-            match written {
-                Err(error) => say!("{LIST} not kept, and tried again until it can be: {error}"),
-                Ok(()) => say!("{LIST} is kept again"),
-            }
-        }
-    }
-
-    fn leave_list(&self) -> io::Result<()> {
-        let Some(version) = self.version.get().filter(|_| self.unkept.get()) else { return Ok(()) };
-        let servers = self.lines.borrow().values().cloned().collect();
-        let text = serde_json::to_vec(&Listing { version, full: true, servers })?;
-        self.store.write(LIST, &text)?;
-        self.unkept.set(false);
-        Ok(())
-    }
-
-    fn leave_confirmation(&self) -> io::Result<()> {
-        let Some(clock) = &self.boot_clock else { return Ok(()) };
-        let Some((version, at)) = self.version.get().zip(self.lease.confirmed_at()) else { return Ok(()) };
-        if self.kept.get() == Some((version, at)) {
-            return Ok(());
-        }
-        let ago = self.lease.age().unwrap_or_default();
-        self.store.write(CONFIRMATION, &serde_json::to_vec(&clock.confirms(version, ago))?)?;
-        self.kept.set(Some((version, at)));
-        Ok(())
-    }
-
     fn tell(&self, lines: &[Line], kind: ListKind) {
         if kind != ListKind::Changes {
             self.pool.forget_missing(|node| lines.iter().any(|line| *line.id == **node));
@@ -325,7 +253,7 @@
             sleep(LOOK).await;
             if self.store.keeps() {
                 self.look();
-                self.leave();
+                self.kept.write(|| self.lines.borrow().values().cloned().collect(), &self.lease);
             }
         }
     }
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -5,10 +5,10 @@
 use crate::clients::presence::Presence;
 use crate::fleet::calls::Calls;
 use crate::fleet::discovery::Discovery;
+use crate::fleet::kept_list::{KeptList, Left};
 use crate::fleet::lease::ListLease;
-use crate::fleet::list_age::BootClock;
 use crate::fleet::list_status::{ListStatus, Source};
-use crate::fleet::registry::{self, Left, Registry};
+use crate::fleet::registry::Registry;
 use crate::fleet::words::Words;
 use crate::nodes::attempt::Attempts;
 use crate::nodes::permission::Permission;
@@ -145,9 +145,8 @@
     }
     let succession = Succession::open(store.clone(), dispatcher.clock.now());
     let succession = Rc::new(succession.map_err(|e| format!("folder for temporary files: {e}"))?);
-    let boot_clock = BootClock::open();
-    let left = registry::left(&store, boot_clock.as_ref());
-    let (source, begins_with, age) = match left {
+    let kept = KeptList::new(store.clone());
+    let (source, begins_with, age) = match kept.left() {
         Some(Left { listing, age }) => (Source::Folder, listing, age),
         None => (Source::Configuration, config.known, None),
     };
@@ -158,16 +157,15 @@
         age.map_or(Lease::unconfirmed(now), |age| Lease::kept(now, now - age)),
         seed,
     );
-    let lease = ListLease::new(clock, list_watch.lease());
+    let lease = ListLease::new(clock, list_watch.lease(), counts.lapses.clone());
     let registry = Registry::new(
         network.clone(),
         origin_kind,
         pool.clone(),
         dispatcher.clone(),
         store,
+        kept,
         lease.clone(),
-        boot_clock,
-        counts.lapses.clone(),
     );
     let (moves, discovery_at) = watch::channel(config.discovery);
     let list_status = ListStatus::start(lease.clone(), now, source, &begins_with);
