--- a/crates/flintwell-rig/src/check.rs
+++ b/crates/flintwell-rig/src/check.rs
@@ -1,7 +1,7 @@
 //! The rules over the whole fleet, from what clients saw, what nodes took and what discovery told. Knows nothing of the
 //! module.
 
-use flintwell_standins::clients::Seen;
+use flintwell_standins::clients::{Missing, Seen};
 use flintwell_standins::world::{Called, Change, Did, Made, State, Took};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -10,6 +10,7 @@
 const BREATH: f64 = 250.0; // ms; what a machine that is busy with many processes adds in a test
 const SILENT: f64 = 6_000.0; // ms; after a watch fell silent what it misses counts as told, by the protocol page
 const WAITED: f64 = 2_000.0; // ms; the same after the wait of a call, where that is later
+const DOOR: f64 = 400.0; // ms; after a proxy is told to end new connections go on coming for so long, by the protocol page
 const COLD: f64 = 0.99; // share of its workers; under it a node is cold
 
 /// How a class may be repeated, as far as the checker needs it.
@@ -45,6 +46,10 @@
     pub fall_s: f64,
     /// Paths or processes that we stopped ourselves: requests in these times may get no answer.
     pub excused: &'a [(String, f64, f64)],
+    /// When a proxy was told to end, and when a process of its own took clients again.
+    pub down: &'a [(String, f64, f64)],
+    /// Idle clients fill the descriptors: new connections may be shut unread.
+    pub crowded: bool,
 }
 
 /// Every breach, by time.
@@ -65,13 +70,29 @@
             |(proxy, from, to): &(String, f64, f64)| *proxy == seen.proxy && seen.at_ms < *to && end > *from;
         evidence.excused.iter().any(meets)
     };
+    // A request that the proxy never read is no loss where nobody was owed a connection.
+    let not_taken = |seen: &&Seen| {
+        let ends = seen.at_ms + seen.took_ms;
+        let down = |(proxy, from, to): &(String, f64, f64)| {
+            *proxy == seen.proxy && ends > from + DOOR && seen.at_ms < to + BREATH
+        };
+        match seen.missing {
+            Some(Missing::NotConnected | Missing::Reset) => {
+                evidence.crowded || evidence.down.iter().any(down)
+            }
+            _ => false,
+        }
+    };
     let late = |seen: &&Seen| seen.status.is_none() || seen.took_ms > seen.limit_ms + SLACK + BREATH;
-    let wrong = evidence.seen.iter().filter(late).filter(|seen| !excused(seen));
+    let wrong = evidence.seen.iter().filter(late).filter(|seen| !not_taken(seen) && !excused(seen));
     wrong
         .map(|seen| Breach {
             rule: 1,
             at_ms: seen.at_ms,
-            what: format!("{} at {}: {:?} after {:.0} ms", seen.id, seen.proxy, seen.status, seen.took_ms),
+            what: format!(
+                "{} at {}: {:?} ({:?}) after {:.0} ms",
+                seen.id, seen.proxy, seen.status, seen.missing, seen.took_ms
+            ),
         })
         .collect()
 }
--- a/crates/flintwell-rig/src/check/tests.rs
+++ b/crates/flintwell-rig/src/check/tests.rs
@@ -10,6 +10,7 @@
         limit_ms: 1_000.0,
         took_ms,
         status,
+        missing: None,
         stay_away_ms: 0.0,
     }
 }
@@ -69,6 +70,8 @@
         grace_ms: 300.0,
         fall_s: 1.0,
         excused: &[],
+        down: &[],
+        crowded: false,
     });
     let found = |rule: u8, what: &str| breaches.iter().any(|one| one.rule == rule && one.what.contains(what));
     assert!(found(1, "lost") && found(1, "late") && found(2, "twice ran") && found(2, "told refused"));
--- a/crates/flintwell-rig/src/days.rs
+++ b/crates/flintwell-rig/src/days.rs
@@ -73,7 +73,7 @@
                 during(words(one.clone(), all(), Post::Cut), words(one, all(), Post::Passes));
             }
             3 => during(What::Pause { who: one.clone() }, What::GoOn { who: one }),
-            4 => during(What::Kill { who: one.clone() }, What::Start { who: one }),
+            4 => during(What::Kill { who: one.clone() }, What::Start { who: one, afresh: false }),
             5 => {
                 let origin = || "origin".to_owned();
                 during(
@@ -106,7 +106,7 @@
     for event in &plan.events {
         sleep_until((began + Duration::from_secs_f64(event.at_s)).into()).await;
         // One that is killed twice, or paused while it is dead, stays as it is.
-        happens(&mut fleet, &event.what)?;
+        happens(&mut fleet, &event.what).await?;
     }
     // Whatever overlapped, all is well from here on.
     for n in 0..shape.proxies {
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -19,6 +19,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 const DISCOVERY: &str = "discovery"; // names the path to it
@@ -87,6 +88,12 @@
     pub words: bool,
     /// How long discovery takes for a call, ms; it works through calls in turn.
     pub call_ms: f64,
+    /// How many proxies the settings tell; as many as there are, if 0.
+    pub told_proxies: usize,
+    /// The longest that clients wait for an answer, s.
+    pub outer_limit_s: f64,
+    /// Descriptors that each proxy may hold.
+    pub sockets: usize,
     /// Each proxy runs under a supervisor, which the staff speaks to in its place.
     pub supervised: bool,
 }
@@ -111,6 +118,9 @@
             fleet: "rig".into(),
             words: false,
             call_ms: 0.0,
+            told_proxies: 0,
+            outer_limit_s: 1.0,
+            sockets: 1_024,
             supervised: false,
         }
     }
@@ -137,6 +147,10 @@
     boxes: Vec<PostBox>,
     coming: Vec<JoinHandle<()>>,
     excused: Vec<(String, f64, f64)>,
+    /// When a proxy was told to end, and when a process of its own took clients again.
+    down: Vec<(String, f64, f64)>,
+    /// Connections that say nothing, held open to the day's end.
+    crowd: Vec<TcpStream>,
     /// When a proxy's open watch fell silent.
     hushed: Vec<(String, f64)>,
 }
@@ -163,9 +177,10 @@
 fn settings(shape: &Shape, n: usize) -> Value {
     let case = |name: &str, effect: &str| {
         json!({"name": name, "effect": effect, "group": "all", "key_ttl": 3.0, "goal_time": 0.5,
-            "overdue_earnings": 0.0, "outer_limit": 1.0})
+            "overdue_earnings": 0.0, "outer_limit": shape.outer_limit_s})
     };
-    let own = json!({"index": n, "fleet_size": shape.proxies, "locality": n % shape.zones.len(),
+    let told = shape.told_proxies.max(shape.proxies);
+    let own = json!({"index": n * (told / shape.proxies), "fleet_size": told, "locality": n % shape.zones.len(),
         "discovery": "on_request", "weights": "off", "zones": shape.zones, "flavors": ["cache", ORIGIN],
         "realms": [], "specifics": {"mode": "aside", "origin_kind": 1},
         "limits": {"max_hand_offs": 4, "dial_timeout": 0.25, "keepalive": 10.0, "retry_after": true,
@@ -253,7 +268,7 @@
             let state = home.join("state");
             let mut config = json!({"name": name, "listen": listen, "mgmt": management, "discovery": discovery.addr,
                 "seed": format!("{:016x}", 0x9e37_79b9_7f4a_7c15_u64.wrapping_mul(n as u64 + 1)),
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": shape.sockets}, "known": known,
                 "rollout": {"fleet": shape.fleet, "state": state}, "settings": settings(&shape, n)});
             if shape.words {
                 config["words"] = json!({"cluster": shape.fleet, "listen": words[n], "advertise": boxes[n].addr,
@@ -285,8 +300,19 @@
             proxies.push(Proxy { process, zone, listen, staff: staff.addr, state, words: words[n] });
             paths.insert((n, STAFF.into()), staff);
         }
-        let (book, coming, excused, hushed) = (Book::default(), Vec::new(), Vec::new(), Vec::new());
-        Ok(Fleet { world, book, proxies, shape, paths, boxes, coming, excused, hushed })
+        Ok(Fleet {
+            world,
+            book: Book::default(),
+            proxies,
+            shape,
+            paths,
+            boxes,
+            coming: Vec::new(),
+            excused: Vec::new(),
+            down: Vec::new(),
+            crowd: Vec::new(),
+            hushed: Vec::new(),
+        })
     }
 
     /// Clients come to each proxy for so long.
@@ -357,6 +383,30 @@
         self.excused.push((self.proxies[n].process.name.clone(), from_ms, to_ms));
     }
 
+    /// This proxy is told to end: new connections are not owed to anybody from some time on, until it is started again.
+    pub fn goes_down(&mut self, n: usize) {
+        let (name, now) = (self.proxies[n].process.name.clone(), self.world.now_ms());
+        if !self.down.iter().any(|(proxy, _, to)| *proxy == name && *to == f64::MAX) {
+            self.down.push((name, now, f64::MAX));
+        }
+    }
+
+    /// It takes clients again.
+    pub fn comes_up(&mut self, n: usize) {
+        let (name, now) = (&self.proxies[n].process.name, self.world.now_ms());
+        let open = self.down.iter_mut().filter(|(proxy, _, to)| proxy == name && *to == f64::MAX);
+        open.for_each(|down| down.2 = now);
+    }
+
+    /// So many clients connect to this proxy, say nothing and stay; how many came in.
+    pub async fn crowds(&mut self, n: usize, connections: usize) -> usize {
+        let before = self.crowd.len();
+        for _ in 0..connections {
+            self.crowd.extend(TcpStream::connect(self.proxies[n].listen).await);
+        }
+        self.crowd.len() - before
+    }
+
     /// What was excused at this proxy without an end ends then.
     pub fn excused_until(&mut self, n: usize, until_ms: f64) {
         let name = &self.proxies[n].process.name;
@@ -387,6 +437,8 @@
                 .map_or(GRACE, |grace| grace * 1e3),
             fall_s: FALL,
             excused: &self.excused,
+            down: &self.down,
+            crowded: !self.crowd.is_empty(),
         })
     }
 }
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -223,7 +223,10 @@
             for seed in *from..from + count {
                 let below = folder.path().join(format!("soak-{seed}"));
                 let day = soak::play(seed, *proxies, &arguments.program, &below).await?;
-                println!("{seed:4}: {} requests, {} served, {} lapses", day.requests, day.served, day.lapses);
+                println!(
+                    "{seed:4}: {} requests, {} served, {} lapses, lists {:.1} s old, ready in {:.1} s",
+                    day.requests, day.served, day.lapses, day.oldest_list_s, day.ready_s
+                );
                 day.broken.iter().take(5).for_each(|one| println!("    {one}"));
                 if !day.broken.is_empty() {
                     println!("    {}", serde_json::to_string(&day.events).map_err(|e| e.to_string())?);
--- a/crates/flintwell-rig/src/plan.rs
+++ b/crates/flintwell-rig/src/plan.rs
@@ -67,6 +67,26 @@
     },
     Start {
         who: String,
+        /// With none of the files that it has kept.
+        #[serde(default)]
+        afresh: bool,
+    },
+    /// A planned stop begins, or its signal comes once more.
+    Terminate {
+        who: String,
+    },
+    /// What is left of a planned stop is ended; what is not answered then is lost.
+    End {
+        who: String,
+    },
+    /// The configuration is read anew.
+    HangUp {
+        who: String,
+    },
+    /// So many clients connect to each, say nothing and stay.
+    Crowd {
+        who: String,
+        connections: usize,
     },
     Pause {
         who: String,
@@ -124,7 +144,7 @@
         events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
         for event in &events {
             sleep_until((began + Duration::from_secs_f64(event.at_s.max(0.0))).into()).await;
-            happens(&mut fleet, &event.what).map_err(|why| format!("at {} s: {why}", event.at_s))?;
+            happens(&mut fleet, &event.what).await.map_err(|why| format!("at {} s: {why}", event.at_s))?;
         }
         fleet.gone().await;
         let timeline = timeline(&fleet, &events, offset);
@@ -137,7 +157,7 @@
     }
 }
 
-pub fn happens(fleet: &mut Fleet, what: &What) -> Result<(), String> {
+pub async fn happens(fleet: &mut Fleet, what: &What) -> Result<(), String> {
     let now = fleet.world.now_ms();
     let nobody = |who: &str| format!("nobody is named {who:?}");
     let proxies = |fleet: &Fleet, who: &str| match fleet.named(who) {
@@ -179,9 +199,35 @@
                 fleet.excuses(n, now - 1_500.0, f64::MAX);
             }
         }
-        What::Start { who } => {
+        What::Terminate { who } => {
+            for n in proxies(fleet, who)? {
+                fleet.proxies[n].process.terminates();
+                fleet.goes_down(n);
+            }
+        }
+        What::End { who } => {
+            for n in proxies(fleet, who)? {
+                fleet.proxies[n].process.kills();
+            }
+        }
+        What::HangUp { who } => {
+            proxies(fleet, who)?.into_iter().for_each(|n| fleet.proxies[n].process.hangs_up());
+        }
+        What::Crowd { who, connections } => {
+            for n in proxies(fleet, who)? {
+                fleet.crowds(n, *connections).await;
+            }
+        }
+        What::Start { who, afresh } => {
             for n in proxies(fleet, who)? {
-                fleet.proxies[n].process.starts()?;
+                // Of two who were to start it the first has.
+                if !fleet.proxies[n].process.lives() {
+                    if *afresh {
+                        fleet.proxies[n].process.forgets();
+                    }
+                    fleet.proxies[n].process.starts()?;
+                }
+                fleet.comes_up(n);
                 let until = fleet.world.now_ms() + STANDS * 1e3;
                 fleet.excused_until(n, until);
             }
--- a/crates/flintwell-rig/src/process.rs
+++ b/crates/flintwell-rig/src/process.rs
@@ -92,6 +92,15 @@
     pub fn hangs_up(&self) {
         self.signal(Signal::HUP);
     }
+    /// Told to end; it goes on until it has, or is killed.
+    pub fn terminates(&self) {
+        self.signal(Signal::TERM);
+    }
+    /// Its next start finds none of the files that it has kept.
+    pub fn forgets(&self) {
+        // Without any there is nothing to forget.
+        let _ = std::fs::remove_dir_all(self.folder.join("tmp"));
+    }
 
     pub fn kills(&mut self) {
         if let Some(mut child) = self.child.take() {
