Servers' starts are dated by what the process knows; a list on a full disk is written later (test)

A start told for the first time lies between the last confirmed list and now; what does not fit, since a wall clock was set, counts as just now, so a server that has restarted never passes for a warm one. Tests in virtual time, and of the kept list before /dev/full.

--- a/crates/flintwell-rig/src/soak.rs
+++ b/crates/flintwell-rig/src/soak.rs
@@ -27,6 +27,7 @@
 const RESTART_MOST: f64 = 20.0; // s
 const MOST: f64 = 0.7; // of the proxies, where most are restarted
 const KILLED_AFTER: f64 = 0.7; // s; from a planned stop's signal to SIGKILL, beyond the longest deadline
+const STARTING: f64 = 2.0; // s; after a start until its process may be struck again
 const STAGGER: f64 = 1.0; // s; over which a planned stop meets most of the proxies
 const TOLD: f64 = 6_000.0; // ms; from when discovery had a change and could be reached
 const GRACE: f64 = 300.0; // ms; of a drain, as the fleet has it
@@ -96,6 +97,8 @@
     proxies: usize,
     /// The longest that clients wait, s.
     limit: f64,
+    /// Who is gone from when to when.
+    gone: Vec<(String, f64, f64)>,
     all: Vec<Event>,
 }
 
@@ -114,8 +117,19 @@
         rand::seq::index::sample(&mut self.chance, self.proxies, most).into_iter().map(name).collect()
     }
 
+    /// Whether a proxy lives in this time; it is gone in it from now on. Danger: the end of one stop would kill what was started
+    /// after another one.
+    fn takes(&mut self, who: &str, from: f64, to: f64) -> bool {
+        let meets = |(gone, begins, ends): &(String, f64, f64)| gone == who && *begins <= to && *ends >= from;
+        let free = !self.gone.iter().any(meets);
+        if free {
+            self.gone.push((who.to_owned(), from, to));
+        }
+        free
+    }
+
     /// How long processes are gone: as often tenths of a second as many seconds.
-    fn gone(&mut self) -> f64 {
+    fn gone_for(&mut self) -> f64 {
         let logarithm = self.chance.random_range(RESTART_LEAST.ln()..RESTART_MOST.ln());
         logarithm.exp()
     }
@@ -131,8 +145,11 @@
     }
 
     fn killed(&mut self, at: f64) {
-        let (whom, gone, afresh) = (self.some(), self.gone(), self.chance.random());
+        let (whom, gone, afresh) = (self.some(), self.gone_for(), self.chance.random());
         for who in whom {
+            if !self.takes(&who, at, at + gone + STARTING) {
+                continue;
+            }
             self.add(at, What::Kill { who: who.clone() });
             self.add(at + gone, What::Start { who, afresh });
         }
@@ -140,11 +157,14 @@
 
     /// A planned stop: signals in series, SIGKILL as early as it may come.
     fn stopped(&mut self, at: f64) {
-        let (whom, gone, afresh) = (self.some(), self.gone(), self.chance.random());
+        let (whom, gone, afresh) = (self.some(), self.gone_for(), self.chance.random());
         let stagger = if whom.len() > 1 { STAGGER } else { 0.0 };
         for who in whom {
             let at = at + stagger * self.chance.random::<f64>();
             let ends = at + self.limit + KILLED_AFTER;
+            if !self.takes(&who, at, ends + gone + STARTING) {
+                continue;
+            }
             self.add(at, What::Terminate { who: who.clone() });
             for _ in 0..self.chance.random_range(0..4) {
                 let again = self.chance.random_range(at..ends);
@@ -182,7 +202,7 @@
 fn drawn(seed: u64, setting: &Setting, caches: &[String]) -> Vec<Event> {
     let Shape { proxies, outer_limit_s, .. } = setting.shape;
     let chance = ChaCha8Rng::seed_from_u64(seed);
-    let mut events = Events { chance, proxies, limit: outer_limit_s, all: Vec::new() };
+    let mut events = Events { chance, proxies, limit: outer_limit_s, gone: Vec::new(), all: Vec::new() };
     for _ in 0..events.chance.random_range(1..4) {
         events.server_leaves(caches);
     }
--- a/crates/flintwell/src/fleet/kept_list.rs
+++ b/crates/flintwell/src/fleet/kept_list.rs
@@ -95,3 +95,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/flintwell/src/fleet/registry.rs
+++ b/crates/flintwell/src/fleet/registry.rs
@@ -8,6 +8,7 @@
 use crate::requests::dispatcher::Dispatcher;
 use crate::say;
 use flintwell_core::interface::{ListKind, Micros, NodeId, Standing};
+use flintwell_list_watch::Starts;
 use flintwell_settings::Network;
 use flintwell_settings::listing::{Line, Listing};
 use serde::{Deserialize, Serialize};
@@ -46,6 +47,9 @@
     dispatcher: Rc<Dispatcher>,
     store: Store,
     lines: RefCell<BTreeMap<String, Line>>,
+    starts: RefCell<Starts>,
+    /// When the list was last confirmed that was told before.
+    confirmed_at: Cell<Option<Micros>>,
     hands: RefCell<BTreeMap<String, Hand>>,
     lease: Rc<ListLease>,
     /// The list is so old that nothing may be sent by it, and the module was told so.
@@ -65,6 +69,7 @@
     ) -> Rc<Self> {
         let hands = RefCell::new(recorded(&store));
         let lapsed = Cell::new(!lease.holds());
+        let confirmed_at = Cell::new(lease.confirmed_at());
         Rc::new(Registry {
             network,
             origin_kind,
@@ -72,6 +77,8 @@
             dispatcher,
             store,
             lines: RefCell::default(),
+            starts: RefCell::default(),
+            confirmed_at,
             hands,
             lease,
             lapsed,
@@ -93,6 +100,7 @@
                 }
             }
         }
+        self.learn_starts(listing, kind);
         if kind != ListKind::Kept {
             self.kept.told(listing.version);
         }
@@ -106,6 +114,17 @@
         self.tell(&listing.servers, kind);
     }
 
+    fn learn_starts(&self, listing: &Listing, kind: ListKind) {
+        // What a process begins with was confirmed before it is told, so it has no list before it.
+        let since = if kind == ListKind::Kept { None } else { self.confirmed_at.get() };
+        let (now, mut starts) = (self.dispatcher.clock.now(), self.starts.borrow_mut());
+        for line in &listing.servers {
+            starts.learn(&line.id, (line.started_ms * 1e3) as Micros, since, now);
+        }
+        starts.forget(|server| self.lines.borrow().contains_key(server));
+        self.confirmed_at.set(self.lease.confirmed_at());
+    }
+
     /// Keeps the module told of whether the list may be acted on.
     pub async fn keep_lease(&self) {
         loop {
@@ -159,6 +178,9 @@
     /// A line with the operators' word laid over it.
     fn overlaid(&self, line: &Line) -> Line {
         let mut line = line.clone();
+        if let Some(started_at) = self.starts.borrow().started_at(&line.id) {
+            line.started_ms = started_at as f64 / 1e3;
+        }
         // Danger: what a list lacks that has lapsed counts as told: any of its servers may have left.
         if self.lapsed.get() && line.state == "ready" {
             line.state = "draining".into();
