--- a/crates/flintwell-list-watch/src/watch.rs
+++ b/crates/flintwell-list-watch/src/watch.rs
@@ -20,6 +20,7 @@
 const FIRST_CALL_FRAME: Micros = 1_000_000; // us; the most over which processes that start as one call first
 const AGAIN: Micros = 50_000; // us; the least pause after a connection that did not come up, or a second silence
 const AGAIN_MOST: Micros = 400_000; // us; the longest: a discovery that returns is noticed so soon
+const UNREACHABLE: Micros = 800_000; // us; tries that fail for so long are no fault of a moment
 const LOCAL: Micros = 20_000; // us; the least pause after a fault of our own system
 const LOCAL_MOST: Micros = 100_000; // us; the longest
 const PUSHED_LEAST: Micros = 20_000; // us; where lists are pushed: between calls, however short the grace
@@ -59,8 +60,8 @@
     dial: Micros,
     /// Something may have been missed since the last answer.
     doubt: bool,
-    /// No connection came up at the last try.
-    unreachable: bool,
+    /// Since when no connection has come up.
+    unreachable_since: Option<Micros>,
 }
 
 impl Watch {
@@ -76,7 +77,7 @@
             tried_at: now,
             dial: 0,
             doubt: false,
-            unreachable: false,
+            unreachable_since: None,
         }
     }
 
@@ -112,7 +113,7 @@
     /// That connection is up; when the call may be written to it.
     pub fn connected(&mut self, now: Micros) -> Micros {
         self.dial = (now - self.tried_at).max(0);
-        if std::mem::take(&mut self.unreachable) { self.slot(now) } else { now }
+        if self.unreachable_since.take().is_some() { self.slot(now) } else { now }
     }
 
     /// Discovery is called now. `whole`: for the whole list, which waits for nothing.
@@ -154,13 +155,8 @@
             return now + self.rng.random_range(LOCAL..=LOCAL_MOST);
         }
         self.doubt = true;
-        self.unreachable = failure == Failure::Unreachable;
-        if self.unreachable {
-            // Discovery could not be reached when this began, so nothing that it had by then counts yet.
-            self.lease.renew(self.tried_at, Basis::Unreachable);
-            self.failures.forget();
-            self.last_failure = None;
-            return now + self.pause_unreachable();
+        if failure == Failure::Unreachable {
+            return self.unreachable(now);
         }
         let (refused, took) = (failure == Failure::Refused, now - self.called_at);
         let waited = refused && queued(took, self.dial);
@@ -190,10 +186,23 @@
     /// Discovery is elsewhere from now on, and nothing has failed there yet. Danger: the move tells nothing of the list, which
     /// stays as old as it is.
     pub fn moved(&mut self) {
-        self.unreachable = false;
+        self.unreachable_since = None;
         self.well();
     }
 
+    /// No connection came up by `now`; when to try again.
+    fn unreachable(&mut self, now: Micros) -> Micros {
+        let since = *self.unreachable_since.get_or_insert(self.tried_at);
+        // Danger: a connection may fail for a moment while discovery is there, and what it has counts meanwhile.
+        if now - since >= UNREACHABLE {
+            // Discovery could not be reached when this try began, so nothing that it had by then counts yet.
+            self.lease.renew(self.tried_at, Basis::Unreachable);
+        }
+        self.failures.forget();
+        self.last_failure = None;
+        now + self.pause_unreachable()
+    }
+
     fn well(&mut self) {
         self.failures.forget();
         self.last_failure = None;
--- a/crates/flintwell-rig/src/days.rs
+++ b/crates/flintwell-rig/src/days.rs
@@ -20,6 +20,7 @@
 const FROM: f64 = 4.0; // s; by then a fleet has found itself
 const LAST: f64 = 12.0; // s; the latest that something begins
 const LONGEST: f64 = 5.0; // s; that it lasts
+const PAUSE_SLACK: f64 = 500.0; // ms; after a paused process goes on, its clients' requests are still on their way
 const WHOLE: Duration = Duration::from_secs(45); // for a fleet to find itself once all is well
 const LOOK: Duration = Duration::from_millis(200); // between looks
 const ANSWERS: Duration = Duration::from_secs(5); // for a proxy to say what it knows
@@ -109,13 +110,7 @@
         happens(&mut fleet, &event.what).await?;
     }
     // Whatever overlapped, all is well from here on.
-    for n in 0..shape.proxies {
-        fleet.proxies[n].process.goes_on();
-        if !fleet.proxies[n].process.lives() {
-            fleet.proxies[n].process.starts()?;
-        }
-        fleet.excused_until(n, fleet.world.now_ms() + 500.0);
-    }
+    fleet.revives_all(PAUSE_SLACK)?;
     fleet.way("*", "*", Way::Passes);
     fleet.words("*", "*", Post::Passes);
     fleet.world.fault("origin", Fault::None);
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -414,6 +414,20 @@
         open.for_each(|excused| excused.2 = until_ms);
     }
 
+    /// Every process lives and goes on from now on; requests that meet its return are excused for so many ms.
+    pub fn revives_all(&mut self, excused_ms: f64) -> Result<(), String> {
+        for n in 0..self.proxies.len() {
+            let process = &mut self.proxies[n].process;
+            process.goes_on();
+            if !process.lives() {
+                process.starts()?;
+            }
+            self.comes_up(n);
+            self.excused_until(n, self.world.now_ms() + excused_ms);
+        }
+        Ok(())
+    }
+
     /// Every breach of the rules so far.
     pub fn breaches(&self) -> Vec<Breach> {
         let repeats = [
--- a/crates/flintwell-rig/src/soak.rs
+++ b/crates/flintwell-rig/src/soak.rs
@@ -235,13 +235,7 @@
             starts.extend(listens.map(|listen| tokio::spawn(ready_after(listen))));
         }
     }
-    for n in 0..proxies {
-        fleet.proxies[n].process.goes_on();
-        if !fleet.proxies[n].process.lives() {
-            fleet.proxies[n].process.starts()?;
-        }
-        fleet.excused_until(n, fleet.world.now_ms() + PAUSE_SLACK);
-    }
+    fleet.revives_all(PAUSE_SLACK)?;
     fleet.gone().await;
     let mut broken: Vec<String> =
         fleet.breaches().iter().map(|breach| format!("rule {}: {}", breach.rule, breach.what)).collect();
--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -140,12 +140,14 @@
     fn due(&mut self, dispatcher: &Dispatcher, phase: Phase) -> Phase {
         let now = dispatcher.clock.now();
         match phase {
-            Phase::Pausing(_) | Phase::Connecting => {
+            Phase::Pausing(_) => {
                 self.watch.connects(now);
                 let addr = *self.addr.borrow();
                 self.calls.connect(addr, self.link.take());
                 Phase::Connecting
             }
+            // It ends with the connection, and has no time of its own.
+            Phase::Connecting => Phase::Connecting,
             Phase::Connected(link, _) => self.call(dispatcher, link),
             Phase::Calling(..) => {
                 let broken = Broken { stage: Stage::Written, cause: Cause::TimedOut };
--- a/crates/flintwell/src/fleet/mod.rs
+++ b/crates/flintwell/src/fleet/mod.rs
@@ -6,5 +6,6 @@
 pub mod lease;
 pub mod list_age;
 pub mod list_status;
+pub mod overrides;
 pub mod registry;
 pub mod words;
--- a/crates/flintwell/src/fleet/registry.rs
+++ b/crates/flintwell/src/fleet/registry.rs
@@ -2,16 +2,16 @@
 
 use crate::fleet::kept_list::KeptList;
 use crate::fleet::lease::ListLease;
+use crate::fleet::overrides::{Overrides, Refused};
 use crate::nodes::pool::Pool;
 use crate::process::live::Live;
-use crate::process::store::{Store, plain};
+use crate::process::store::Store;
 use crate::requests::dispatcher::Dispatcher;
 use crate::say;
 use flintwell_core::interface::{ListKind, Micros, NodeId, Standing};
 use flintwell_list_watch::Starts;
 use flintwell_settings::Network;
 use flintwell_settings::listing::{Line, Listing};
-use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -19,27 +19,8 @@
 use tokio::time::sleep;
 
 const LOOK: Duration = Duration::from_millis(100); // between looks at what another process of ours was told
-const HANDS_MOST: usize = 1_024; // nodes out or lately back; far above what staff takes out by hand
-const FORGOTTEN: f64 = 600_000.0; // ms; after a node was put back; far longer than any takes to warm up
-const MARK: &str = "out-"; // begins the name of a node's file
-
-/// What the operators said of a node last: when it was taken out, and when it was put back, if it was.
-#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
-struct Hand {
-    who: String,
-    out_ms: f64,
-    back_ms: Option<f64>,
-}
-
-/// Why a node was not taken out or put back.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Refused {
-    /// Nobody has this id.
-    Unknown,
-    /// It could not be recorded, and nothing has changed.
-    NotRecorded,
-}
 
+/// The list in hand, and what is laid over it.
 pub struct Registry {
     network: Rc<Live<Network>>,
     origin_kind: Option<u32>,
@@ -50,7 +31,7 @@
     starts: RefCell<Starts>,
     /// When the list was last confirmed that was told before.
     confirmed_at: Cell<Option<Micros>>,
-    hands: RefCell<BTreeMap<String, Hand>>,
+    overrides: Overrides,
     lease: Rc<ListLease>,
     /// The list is so old that nothing may be sent by it, and the module was told so.
     lapsed: Cell<bool>,
@@ -67,7 +48,7 @@
         kept: KeptList,
         lease: Rc<ListLease>,
     ) -> Rc<Self> {
-        let hands = RefCell::new(recorded(&store));
+        let overrides = Overrides::open(store.clone());
         let lapsed = Cell::new(!lease.holds());
         let confirmed_at = Cell::new(lease.confirmed_at());
         Rc::new(Registry {
@@ -79,7 +60,7 @@
             lines: RefCell::default(),
             starts: RefCell::default(),
             confirmed_at,
-            hands,
+            overrides,
             lease,
             lapsed,
             kept,
@@ -186,15 +167,7 @@
             line.state = "draining".into();
             return line;
         }
-        match self.hands.borrow().get(&line.id) {
-            // Danger: a node under maintenance that a list has as ready would be sent requests.
-            Some(Hand { back_ms: None, .. }) if line.state == "ready" => line.state = "draining".into(),
-            // Danger: it was restarted meanwhile and is cold, whether or not the list tells that yet.
-            Some(Hand { back_ms: Some(back), out_ms, .. }) if line.started_ms < *out_ms => {
-                line.started_ms = *back;
-            }
-            _ => {}
-        }
+        self.overrides.apply(&mut line);
         line
     }
 
@@ -224,50 +197,31 @@
 
     /// Takes a node out until it is put back; said twice it is as said once.
     pub fn exclude(&self, who: &str) -> Result<(), Refused> {
-        let out = |hand: &Hand| hand.back_ms.is_none();
-        if self.hands.borrow().get(who).is_some_and(out) {
+        if self.overrides.is_out(who) {
             return Ok(());
         }
         if !self.cache(who) {
             return Err(Refused::Unknown);
         }
-        self.record(Hand { who: who.into(), out_ms: self.now_ms(), back_ms: None })
+        self.overrides.take_out(who, self.now_ms())?;
+        self.tell_again(&[NodeId::from(who)]);
+        Ok(())
     }
 
     /// Puts a node back; one that is not out is as it was.
     pub fn include(&self, who: &str) -> Result<(), Refused> {
-        let hand = self.hands.borrow().get(who).cloned();
-        match hand {
-            Some(hand) if hand.back_ms.is_none() => {
-                self.record(Hand { back_ms: Some(self.now_ms()), ..hand })
-            }
-            Some(_) => Ok(()),
-            None if self.cache(who) => Ok(()),
-            None => Err(Refused::Unknown),
+        if !self.overrides.is_out(who) {
+            return if self.overrides.knows(who) || self.cache(who) { Ok(()) } else { Err(Refused::Unknown) };
         }
+        self.overrides.put_back(who, self.now_ms())?;
+        self.tell_again(&[NodeId::from(who)]);
+        Ok(())
     }
 
     fn now_ms(&self) -> f64 {
         (self.dispatcher.clock.now() / 1_000) as f64
     }
 
-    /// Records it before it is in force, so that no yes is lost with this process.
-    fn record(&self, hand: Hand) -> Result<(), Refused> {
-        let who = hand.who.clone();
-        if self.hands.borrow().len() >= HANDS_MOST && !self.hands.borrow().contains_key(&who) {
-            return Err(Refused::NotRecorded);
-        }
-        let text = serde_json::to_vec(&hand).map_err(|_| Refused::NotRecorded)?;
-        if let Err(error) = self.store.write(&format!("{MARK}{}", plain(&who)), &text) {
-            say!("{who} not recorded: {error}");
-            return Err(Refused::NotRecorded);
-        }
-        say!("{who} {} by hand", if hand.back_ms.is_none() { "taken out" } else { "put back" });
-        self.hands.borrow_mut().insert(who.clone(), hand);
-        self.tell_again(&[NodeId::from(who)]);
-        Ok(())
-    }
-
     /// Follows what another process of ours was told, as it serves beside us, and keeps the list for one that
     /// may come.
     pub async fn follow(&self) {
@@ -281,19 +235,10 @@
     }
 
     fn look(&self) {
-        let now = self.now_ms();
-        let old = |hand: &Hand| hand.back_ms.is_some_and(|back| now - back > FORGOTTEN);
-        let mut found = recorded(&self.store);
-        found.extract_if(.., |_, hand| old(hand)).for_each(|(who, _)| {
-            self.store.remove(&format!("{MARK}{}", plain(&who)));
-        });
-        let differs = |who: &&String| found.get(*who) != self.hands.borrow().get(*who);
-        let both: Vec<String> = found.keys().chain(self.hands.borrow().keys()).cloned().collect();
-        let changed: Vec<NodeId> =
-            both.iter().filter(|who| differs(who)).map(|who| NodeId::from(&**who)).collect();
+        let changed = self.overrides.read_anew(self.now_ms());
         if !changed.is_empty() {
-            self.hands.replace(found);
-            self.tell_again(&changed);
+            let nodes: Vec<NodeId> = changed.iter().map(|who| NodeId::from(&**who)).collect();
+            self.tell_again(&nodes);
         }
     }
 
@@ -312,22 +257,3 @@
         self.lines.borrow().values().filter(|line| self.is_cache(line)).count()
     }
 }
-
-/// What stands in the files.
-fn recorded(store: &Store) -> BTreeMap<String, Hand> {
-    let mut hands = BTreeMap::new();
-    for file in store.names(MARK) {
-        let read = store.read(&file).map(|text| serde_json::from_slice::<Hand>(&text));
-        match read {
-            Some(Ok(hand)) if file == format!("{MARK}{}", plain(&hand.who)) => {
-                hands.insert(hand.who.clone(), hand);
-            }
-            Some(_) => {
-                say!("{file} is not understood, counts for nothing and is removed");
-                store.remove(&file);
-            }
-            None => {}
-        }
-    }
-    hands
-}
--- a/crates/flintwell/src/staff/management.rs
+++ b/crates/flintwell/src/staff/management.rs
@@ -2,7 +2,8 @@
 
 use crate::fleet::lease::ListLease;
 use crate::fleet::list_status::ListStatus;
-use crate::fleet::registry::{Refused, Registry};
+use crate::fleet::overrides::Refused;
+use crate::fleet::registry::Registry;
 use crate::fleet::words::Words;
 use crate::process::shutdown::Shutdown;
 use crate::requests::dispatcher::Dispatcher;
