A late refusal renews no list that was never confirmed

A discovery that is too busy may refuse late, and a process that has just begun does not know how old its list is.

--- a/crates/flintwell-list-watch/src/lease.rs
+++ b/crates/flintwell-list-watch/src/lease.rs
@@ -35,25 +35,23 @@
     confirmed_at: Option<Micros>,
     /// None: the list was never in force.
     renewed_at: Option<Micros>,
-    /// Refusals in doubt count from then on where nobody has confirmed the list.
-    began_at: Micros,
     basis: Basis,
 }
 
 impl Lease {
-    /// Of a process that begins at `now` with a list of unknown age. Danger: it is as old as the process was dead at least, and
+    /// Of a process that begins with a list of unknown age. Danger: it is as old as the process was dead at least, and
     /// what has changed meanwhile may count from its first moment on.
-    pub fn unconfirmed(now: Micros) -> Self {
-        Lease { confirmed_at: None, renewed_at: None, began_at: now, basis: Basis::Unconfirmed }
+    pub fn unconfirmed() -> Self {
+        Lease { confirmed_at: None, renewed_at: None, basis: Basis::Unconfirmed }
     }
 
     /// Of a process that begins at `now` with a list that was confirmed at `confirmed_at`, before it began.
     pub fn kept(now: Micros, confirmed_at: Micros) -> Self {
         if confirmed_at > now {
-            return Lease::unconfirmed(now);
+            return Lease::unconfirmed();
         }
         let confirmed_at = Some(confirmed_at);
-        Lease { confirmed_at, renewed_at: confirmed_at, began_at: now, basis: Basis::Kept }
+        Lease { confirmed_at, renewed_at: confirmed_at, basis: Basis::Kept }
     }
 
     /// Discovery's state as of `at` is known, or discovery could not be reached at `at`.
@@ -64,8 +62,10 @@
 
     /// Discovery may not have been reached at `at`.
     pub fn renew_in_doubt(&mut self, at: Micros) {
-        let latest = self.confirmed_at.unwrap_or(self.began_at) + TOLD;
-        self.renew_from(at.min(latest), Basis::LateRefusal);
+        // Danger: nobody knows how old a list is that was never confirmed.
+        if let Some(confirmed_at) = self.confirmed_at {
+            self.renew_from(at.min(confirmed_at + TOLD), Basis::LateRefusal);
+        }
     }
 
     fn renew_from(&mut self, at: Micros, basis: Basis) {
--- a/crates/flintwell-list-watch/tests/lease.rs
+++ b/crates/flintwell-list-watch/tests/lease.rs
@@ -74,7 +74,7 @@
 #[test]
 fn nobody_vouches_for_a_list_of_unknown_age_until_discovery_has_answered_or_can_not_be_reached() {
     let figures = Figures { pushed: false, fleet: 300, index: 7, grace: 0 };
-    let starts = || Watch::new(100 * S, figures, Lease::unconfirmed(100 * S), 1);
+    let starts = || Watch::new(100 * S, figures, Lease::unconfirmed(), 1);
     for failure in [Failure::Local, Failure::Refused, Failure::Broken, Failure::Silent] {
         let mut watch = starts();
         assert!(!watch.lease().holds(100 * S));
@@ -85,6 +85,13 @@
         watch.failed(100 * S + 1, failure);
         assert!(!watch.lease().holds(100 * S + 2), "{failure:?}");
     }
+    // A refusal in doubt puts off an end, and here is none: the list may be of any age.
+    let mut refused = starts();
+    for second in 0..10 {
+        refused.call((100 + second) * S, false);
+        refused.failed((101 + second) * S, Failure::Refused);
+        assert!(!refused.lease().holds((101 + second) * S));
+    }
     let mut answered = starts();
     answered.call(101 * S, false);
     answered.answered(101 * S);
@@ -101,7 +108,7 @@
     assert!(lease(TOLD - 1).holds(100 * S) && !lease(TOLD).holds(100 * S));
     assert_eq!(lease(2 * S).ends_at(), Some(104 * S));
     // A clock that tells of the future tells nothing.
-    assert_eq!(lease(-S), Lease::unconfirmed(100 * S));
+    assert_eq!(lease(-S), Lease::unconfirmed());
 }
 
 #[test]
@@ -116,7 +123,7 @@
 fn a_process_that_restarts_alone_calls_within_a_second_however_large_its_fleet_is() {
     for fleet in [1, 2, 32, 300, 1_024] {
         let figures = |index| Figures { pushed: false, fleet, index, grace: 0 };
-        let first = |index| Watch::new(0, figures(index), Lease::unconfirmed(0), 1).first(123_456) - 123_456;
+        let first = |index| Watch::new(0, figures(index), Lease::unconfirmed(), 1).first(123_456) - 123_456;
         assert!((0..fleet).map(first).all(|wait| (0..S).contains(&wait)), "{fleet} proxies");
     }
 }
--- a/crates/flintwell-list-watch/tests/overload.rs
+++ b/crates/flintwell-list-watch/tests/overload.rs
@@ -86,7 +86,7 @@
         // Of a fleet whose watches go on, each was answered within the last wait.
         let fresh = matches!(start, Start::All | Start::ThirdRestarted);
         let since = if fresh { began } else { began - rng.random_range(0..3_200 * MS) };
-        let lease = if fresh { Lease::unconfirmed(began) } else { Lease::kept(since, since) };
+        let lease = if fresh { Lease::unconfirmed() } else { Lease::kept(since, since) };
         let mut watch = Watch::new(since, figures(n * (fleet / calling)), lease, seed << 16 | u64::from(n));
         let at = match start {
             Start::All | Start::ThirdRestarted => watch.first(began),
--- a/crates/flintwell/src/fleet/kept_list/tests.rs
+++ b/crates/flintwell/src/fleet/kept_list/tests.rs
@@ -9,7 +9,7 @@
 
 fn lease_confirmed_ago(ago: Micros) -> std::rc::Rc<ListLease> {
     let clock = Clock::start();
-    let mut lease = Lease::unconfirmed(clock.now());
+    let mut lease = Lease::unconfirmed();
     lease.renew(clock.now() - ago, Basis::Answer);
     ListLease::new(clock, lease, Default::default())
 }
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -154,7 +154,7 @@
     let list_watch = ListWatch::new(
         now,
         figures,
-        age.map_or(Lease::unconfirmed(now), |age| Lease::kept(now, now - age)),
+        age.map_or(Lease::unconfirmed(), |age| Lease::kept(now, now - age)),
         seed,
     );
     let lease = ListLease::new(clock, list_watch.lease(), counts.lapses.clone());
