--- a/crates/flintwell-rig/src/soak.rs
+++ b/crates/flintwell-rig/src/soak.rs
@@ -231,8 +231,9 @@
         sleep_until((began + Duration::from_secs_f64(event.at_s)).into()).await;
         happens(&mut fleet, &event.what).await?;
         if let What::Start { who, .. } = &event.what {
+            let struck = began + Duration::from_secs_f64(struck_next(&events, who, event.at_s));
             let listens = fleet.named(who).into_iter().map(|n| fleet.proxies[n].listen);
-            starts.extend(listens.map(|listen| tokio::spawn(ready_after(listen))));
+            starts.extend(listens.map(|listen| tokio::spawn(ready_after(listen, struck))));
         }
     }
     fleet.revives_all(PAUSE_SLACK)?;
@@ -242,7 +243,7 @@
     broken.extend(late(&fleet));
     let mut ready = Vec::new();
     for start in starts {
-        ready.push(start.await.unwrap_or(f64::MAX));
+        ready.extend(start.await.unwrap_or(Some(f64::MAX)));
     }
     let in_time = ready.iter().filter(|after| **after <= READY).count();
     if in_time * 10 < ready.len() * 9 {
@@ -274,18 +275,30 @@
     serde_json::from_slice(&text).ok()
 }
 
-/// How long a process that was just started took to be ready, s.
-async fn ready_after(listen: SocketAddr) -> f64 {
+/// When this proxy is killed, told to end or paused next after `from_s`; far beyond the day's end if it is not.
+fn struck_next(events: &[Event], who: &str, from_s: f64) -> f64 {
+    let strikes = |what: &What| match what {
+        What::Kill { who: struck } | What::Terminate { who: struck } | What::Pause { who: struck } => {
+            struck == who
+        }
+        _ => false,
+    };
+    let next = events.iter().find(|event| event.at_s > from_s && strikes(&event.what));
+    next.map_or(from_s + 10.0 * RESTART_MOST, |event| event.at_s)
+}
+
+/// How long a process that was just started took to be ready, s; none if it was struck at `struck` before it was.
+async fn ready_after(listen: SocketAddr, struck: Instant) -> Option<f64> {
     let began = Instant::now();
-    while began.elapsed().as_secs_f64() <= READY * 2.0 {
+    while Instant::now() < struck && began.elapsed().as_secs_f64() <= READY * 2.0 {
         let called =
             flintwell_call::call(listen, Method::GET, "/health/ready", Default::default(), ANSWERS).await;
         if called.is_ok_and(|(status, _)| status == 200) {
-            break;
+            return Some(began.elapsed().as_secs_f64());
         }
         sleep(LOOK).await;
     }
-    began.elapsed().as_secs_f64()
+    (Instant::now() < struck).then(|| began.elapsed().as_secs_f64())
 }
 
 /// Requests that reached a server later than its end counts as told to whoever could reach discovery. Danger: one that is back
