--- a/crates/flintwell-rig/src/check.rs
+++ b/crates/flintwell-rig/src/check.rs
@@ -34,8 +34,8 @@
     pub took: &'a [Took],
     pub changes: &'a [Change],
     pub calls: &'a [Called],
-    /// Proxies whose open watch fell silent, and when.
-    pub hushed: &'a [(String, f64)],
+    /// Proxies whose open watch fell silent, when, and until when a call of before may still have reached discovery.
+    pub hushed: &'a [(String, f64, f64)],
     /// What discovery has counts as told, whether or not anybody watches.
     pub pushed: bool,
     pub made: &'a [Made],
@@ -134,8 +134,8 @@
     if calls.peek().is_none() {
         return change.at_ms;
     }
-    let silent = evidence.hushed.iter().filter(|(who, _)| who == proxy).filter_map(|&(_, at)| {
-        let open = |call: &&Called| call.at_ms < at && call.answered.is_none_or(|(then, _)| then > at);
+    let silent = evidence.hushed.iter().filter(|(who, ..)| who == proxy).filter_map(|&(_, at, reach)| {
+        let open = |call: &&Called| call.at_ms <= reach && call.answered.is_none_or(|(then, _)| then > at);
         let call = evidence.calls.iter().rfind(|call| call.proxy == proxy && open(call))?;
         Some((at, call, (at + SILENT).max(call.at_ms + call.wait_ms + WAITED)))
     });
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -151,8 +151,8 @@
     down: Vec<(String, f64, f64)>,
     /// Connections that say nothing, held open to the day's end.
     crowd: Vec<TcpStream>,
-    /// When a proxy's open watch fell silent.
-    hushed: Vec<(String, f64)>,
+    /// When a proxy's open watch fell silent, and until when a call of before may still reach discovery.
+    hushed: Vec<(String, f64, f64)>,
 }
 
 /// An address of this process's own on loopback: a port picked and left again may be another's meanwhile.
@@ -372,8 +372,9 @@
     pub fn hushes(&mut self, who: &str) -> usize {
         let (now, proxies) = (self.world.now_ms(), self.named(who));
         for &n in &proxies {
-            self.hushed.push((self.proxies[n].process.name.clone(), now));
-            self.paths.get(&(n, DISCOVERY.into())).into_iter().for_each(Relay::hushes);
+            let Some(path) = self.paths.get(&(n, DISCOVERY.into())) else { continue };
+            path.hushes();
+            self.hushed.push((self.proxies[n].process.name.clone(), now, now + path.delay_ms()));
         }
         proxies.len()
     }
--- a/crates/flintwell-rig/src/relay.rs
+++ b/crates/flintwell-rig/src/relay.rs
@@ -64,6 +64,14 @@
         self.way.send_replace(way);
     }
 
+    /// How long what was sent is still on its way, ms.
+    pub fn delay_ms(&self) -> f64 {
+        match *self.way.borrow() {
+            Way::Delays(ms) => ms.max(0.0),
+            _ => 0.0,
+        }
+    }
+
     /// Connections open now stay open and say nothing more, either way; new ones pass.
     pub fn hushes(&self) {
         self.hushed.send_modify(|times| *times += 1);
