Count and log bytes beyond a response, connections not reused, ends of attempts and requests

Now each connection on which bytes come beyond a response is logged (node, bytes, lateness, exchanges, age), each idle connection that can't be used again with its reason, each attempt that did not serve and each refusal or failure with the request's id; lines about single requests have a rate limit of their own, so that an overload doesn't suppress the rest. GET /api/connections has the counts.

The scanner of responses now tells where a response ends (content-length 0, 204 and 304 included). connection.rs held three things; the errors and the metered stream have files of their own. No change of behaviour is meant.

--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -190,6 +190,23 @@
 }
 
 impl AttemptStatus {
+    /// A short name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Error => "error",
+            Self::Full => "full",
+            Self::TimedOut => "timed_out",
+            Self::ConnectFailed => "connect_failed",
+            Self::Reset => "reset",
+            Self::Cancelled => "cancelled",
+            Self::NotSent => "not_sent",
+            Self::Miss => "miss",
+            Self::InvalidResponse => "invalid_response",
+            Self::Unknown => "unknown",
+        }
+    }
+
     /// Whether the request certainly did not run at the node.
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent | Self::Miss)
--- a/crates/flintwell/src/clients/framing.rs
+++ b/crates/flintwell/src/clients/framing.rs
@@ -70,6 +70,7 @@
                     head.push(byte);
                     if byte == b'\n' && is_head_complete(head) {
                         let (framing, length) = parse_framing(head);
+                        let length = length.unwrap_or(0);
                         self.framings.push_back(framing);
                         self.state = match framing {
                             Framing::Length if length == 0 => ScanState::Head(Vec::new()),
@@ -118,14 +119,15 @@
         matches!(self, BodyDecoder::Length(0) | BodyDecoder::Chunked(ChunkState::End))
     }
 
-    /// Decodes further bytes and passes the payload in them to `payload`. False if they are not a valid encoding.
-    pub fn decode(&mut self, mut bytes: &[u8], mut payload: impl FnMut(&[u8])) -> bool {
+    /// Decodes further bytes and passes the payload in them to `payload`; returns how many lie beyond the end of
+    /// the body. None if they are not a valid encoding.
+    pub fn decode(&mut self, mut bytes: &[u8], mut payload: impl FnMut(&[u8])) -> Option<usize> {
         while !bytes.is_empty() && !self.is_complete() {
             let (remaining, state_after) = match self {
                 BodyDecoder::Length(remaining) => (*remaining, None),
                 BodyDecoder::Chunked(ChunkState::Data(remaining)) => (*remaining, Some(ChunkState::DataEnd)),
                 BodyDecoder::Chunked(state) => {
-                    let Some(next) = state.advance(bytes[0]) else { return false };
+                    let next = state.advance(bytes[0])?;
                     (*state, bytes) = (next, &bytes[1..]);
                     continue;
                 }
@@ -143,7 +145,7 @@
                 }),
             };
         }
-        true
+        Some(bytes.len())
     }
 }
 
@@ -185,8 +187,9 @@
 }
 
 impl ResponseScanner {
-    /// Scans bytes that were read from the connection.
-    pub fn scan(&mut self, mut bytes: &[u8]) {
+    /// Scans bytes that were read from the connection; returns how many of them lie beyond the end of the
+    /// response, as far as its framing shows that.
+    pub fn scan(&mut self, mut bytes: &[u8]) -> usize {
         if !bytes.is_empty() {
             self.first_byte_at.get_or_insert_with(Instant::now);
         }
@@ -194,14 +197,17 @@
             self.head.push(bytes[0]);
             bytes = &bytes[1..];
             if self.head.ends_with(b"\n") && is_head_complete(&self.head) {
+                let status = self.head.split(|byte| *byte == b' ').nth(1).unwrap_or_default();
                 // An interim (1xx) response is not the response yet.
-                let is_interim = self.head.split(|b| *b == b' ').nth(1).is_some_and(|s| s.starts_with(b"1"));
-                if !is_interim {
+                if !status.starts_with(b"1") {
                     self.head_complete = true;
                     self.decoder = match parse_framing(&self.head) {
+                        _ if status.starts_with(b"204") || status.starts_with(b"304") => {
+                            Some(BodyDecoder::Length(0))
+                        }
                         (Framing::TransferEncoded, _) => Some(BodyDecoder::Chunked(ChunkState::Size(0))),
+                        (Framing::Length, Some(length)) => Some(BodyDecoder::Length(length)),
                         // Without a length the body may last until the connection closes; its end is not visible.
-                        (Framing::Length, length) if length > 0 => Some(BodyDecoder::Length(length)),
                         _ => None,
                     };
                 }
@@ -211,13 +217,12 @@
             }
         }
         let body_bytes = &mut self.body_bytes;
-        if !self
-            .decoder
-            .as_mut()
-            .is_none_or(|decoder| decoder.decode(bytes, |payload| *body_bytes += payload.len() as u64))
-        {
+        let Some(decoder) = self.decoder.as_mut() else { return 0 };
+        let rest = decoder.decode(bytes, |payload| *body_bytes += payload.len() as u64);
+        if rest.is_none() {
             self.decoder = None;
         }
+        rest.unwrap_or(0)
     }
 }
 
@@ -226,8 +231,8 @@
     head.ends_with(b"\n\n") || head.ends_with(b"\n\r\n")
 }
 
-/// Framing by a head's fields, and the content length.
-fn parse_framing(head: &[u8]) -> (Framing, u64) {
+/// Framing by a head's fields, and the content length if there is one.
+fn parse_framing(head: &[u8]) -> (Framing, Option<u64>) {
     let (mut is_encoded, mut lengths) = (false, Vec::new());
     for line in head.split(|byte| *byte == b'\n').skip(1) {
         let Some(colon) = line.iter().position(|byte| *byte == b':') else { continue };
@@ -239,12 +244,12 @@
         }
     }
     match (is_encoded, lengths.as_slice()) {
-        (true, []) => (Framing::TransferEncoded, 0),
-        (false, []) => (Framing::Length, 0),
-        (false, [Some(length)]) => (Framing::Length, *length),
+        (true, []) => (Framing::TransferEncoded, None),
+        (false, []) => (Framing::Length, None),
+        (false, [Some(length)]) => (Framing::Length, Some(*length)),
         // A length beside a transfer encoding, or a second length, can hide another request in the body (request
         // smuggling).
-        _ => (Framing::Ambiguous, 0),
+        _ => (Framing::Ambiguous, None),
     }
 }
 
--- a/crates/flintwell/src/clients/framing/tests.rs
+++ b/crates/flintwell/src/clients/framing/tests.rs
@@ -52,22 +52,25 @@
         let response = [&interim[..], response].concat();
         for cut in 0..=response.len() {
             let mut scanner = ResponseScanner::default();
-            response[..cut].chunks(1 + cut % 3).for_each(|part| scanner.scan(part));
+            for part in response[..cut].chunks(1 + cut % 3) {
+                assert_eq!(scanner.scan(part), 0, "cut at {cut}");
+            }
             // Another decoder continues from there.
             let Some(mut decoder) = scanner.decoder else { continue };
             let mut rest = Vec::new();
             assert!(
-                decoder.decode(&response[cut..], |payload| rest.extend_from_slice(payload))
+                decoder.decode(&response[cut..], |payload| rest.extend_from_slice(payload)) == Some(0)
                     && decoder.is_complete()
             );
             assert_eq!(rest, body[scanner.body_bytes as usize..], "cut at {cut}");
         }
         let mut scanner = ResponseScanner::default();
-        scanner.scan(&response);
-        assert!(scanner.decoder.is_some_and(BodyDecoder::is_complete), "the end of the body is detected");
+        assert_eq!(scanner.scan(&[&response[..], b"more"].concat()), 4, "the end of the body is detected");
+        assert!(scanner.decoder.is_some_and(BodyDecoder::is_complete));
     }
     for wrong in ["x", "-3\r\n", "ffffffffffffffff0\r\n", "3\r\nnine"] {
-        assert!(!BodyDecoder::Chunked(ChunkState::Size(0)).decode(wrong.as_bytes(), |_| {}), "{wrong}");
+        let decoded = BodyDecoder::Chunked(ChunkState::Size(0)).decode(wrong.as_bytes(), |_| {});
+        assert_eq!(decoded, None, "{wrong}");
     }
 }
 
--- a/crates/flintwell/src/fleet/discovery_calls.rs
+++ b/crates/flintwell/src/fleet/discovery_calls.rs
@@ -3,7 +3,9 @@
 //! discovery's queue and waste the work done for it.
 
 use crate::clients::body::UpstreamBody;
-use crate::nodes::connection::{BodyLimits, Connection, ExchangeError, FailureCause, Progress, ReceivedBody};
+use crate::nodes::connection::{BodyLimits, Connection, Progress, ReceivedBody};
+use crate::nodes::exchange_error::{ExchangeError, FailureCause};
+use crate::nodes::reuse::{Peer, ReuseMonitor};
 use crate::process::clock::Clock;
 use flintwell_core::interface::Micros;
 use flintwell_list_watch::Failure;
@@ -13,6 +15,7 @@
 use hyper::{Request, StatusCode};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
@@ -77,18 +80,21 @@
 /// The calls in flight.
 pub struct DiscoveryCalls {
     clock: Clock,
+    peer: Peer,
     tasks: JoinSet<Completion>,
     open: VecDeque<(CallNumber, AbortHandle)>,
     next_number: CallNumber,
 }
 
 impl DiscoveryCalls {
-    pub fn new(clock: Clock) -> Self {
-        DiscoveryCalls { clock, tasks: JoinSet::new(), open: VecDeque::new(), next_number: 0 }
+    pub fn new(clock: Clock, monitor: Rc<ReuseMonitor>) -> Self {
+        let peer = Peer { name: "discovery".into(), monitor };
+        DiscoveryCalls { clock, peer, tasks: JoinSet::new(), open: VecDeque::new(), next_number: 0 }
     }
 
     /// Starts to establish a connection to `addr`: `previous`, if it can still take a call, or a new one.
     pub fn connect(&mut self, addr: SocketAddr, previous: Option<Connection>) {
+        let peer = self.peer.clone();
         self.tasks.spawn_local(async move {
             // Danger: a connection that is neither ready nor closed would block all further calls.
             let ready = match previous {
@@ -97,7 +103,7 @@
             };
             let connected = match ready {
                 Some(connection) => Ok(connection),
-                None => dial(addr).await,
+                None => dial(addr, &peer).await,
             };
             Completion::Connected(connected.map_err(CallError::from_exchange))
         });
@@ -116,6 +122,7 @@
         self.next_number += 1;
         let task = self.tasks.spawn_local(async move {
             let list = exchange(&mut connection, since, wait).await;
+            connection.end_exchange();
             let first_byte_at =
                 connection.first_byte_at().map_or(clock.now(), |instant| clock.micros_at(instant));
             Completion::Called(number, list.map(|list| Answer { list, connection, first_byte_at }))
@@ -160,11 +167,11 @@
 /// Opens a new connection. Danger: a slow connection, or one whose SYN was lost, would make discovery count
 /// as unreachable, and its last list would be used for longer than allowed; so further connections are tried
 /// in parallel before that is reported.
-async fn dial(addr: SocketAddr) -> Result<Connection, ExchangeError> {
+async fn dial(addr: SocketAddr, peer: &Peer) -> Result<Connection, ExchangeError> {
     let dials = (0..MAX_PARALLEL_DIALS).map(|n| {
         Box::pin(async move {
             sleep(PARALLEL_DIAL_DELAY * n).await;
-            Connection::dial(addr, None).await
+            Connection::dial(addr, peer.clone(), None).await
         })
     });
     let first = async { select_all(dials).await.0 };
--- a/crates/flintwell/src/fleet/discovery_calls/tests.rs
+++ b/crates/flintwell/src/fleet/discovery_calls/tests.rs
@@ -1,5 +1,6 @@
 use super::DiscoveryCalls;
 use crate::process::clock::Clock;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -13,7 +14,7 @@
     LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        let mut calls = DiscoveryCalls::new(Clock::start());
+        let mut calls = DiscoveryCalls::new(Clock::start(), Rc::default());
         calls.connect(addr, None);
         sleep(CONNECT_TIMEOUT).await;
         calls.abort_all();
--- a/crates/flintwell/src/management/api.rs
+++ b/crates/flintwell/src/management/api.rs
@@ -58,6 +58,7 @@
 
 const FLEET_PATH: &str = "/api/fleet"; // state of the other proxies
 const VIOLATIONS_PATH: &str = "/api/violations"; // counters of conditions that should not occur
+const CONNECTIONS_PATH: &str = "/api/connections"; // counters of connections and of attempts
 const LIST_PATH: &str = "/api/list"; // version and age of the node list, and the basis of its lease
 const ROLLOUT_PREFIX: &str = "/api/rollout/"; // prefix of the calls that change settings
 
@@ -128,7 +129,7 @@
         return Ok((StatusCode::OK, text));
     }
     let expected = match request.uri().path() {
-        "/api/ready" | "/api/telemetry" | VIOLATIONS_PATH | LIST_PATH => Method::GET,
+        "/api/ready" | "/api/telemetry" | VIOLATIONS_PATH | CONNECTIONS_PATH | LIST_PATH => Method::GET,
         "/api/exclude" | "/api/include" => Method::POST,
         _ => return Err(StatusCode::NOT_FOUND),
     };
@@ -152,6 +153,10 @@
             let text = serde_json::to_string(&state.metrics.violations_report());
             Ok((StatusCode::OK, text.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?))
         }
+        CONNECTIONS_PATH => {
+            let text = serde_json::to_string(&state.metrics.connections_report());
+            Ok((StatusCode::OK, text.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?))
+        }
         LIST_PATH => {
             let text = serde_json::to_string(&state.list_status.report());
             Ok((StatusCode::OK, text.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?))
--- a/crates/flintwell/src/management/metrics.rs
+++ b/crates/flintwell/src/management/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics of this process, as reported by the management API.
 
+use crate::nodes::reuse::{ReuseMonitor, ReuseReport};
 use crate::nodes::send_guard::Violations;
 use crate::process::counter::{Counter, increment};
-use flintwell_core::interface::Micros;
+use flintwell_core::interface::{AttemptStatus, Micros};
 use flintwell_rollout::wire::{self, encode_histogram, new_latency_histogram};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -49,6 +50,10 @@
     pub violations: Violations,
     /// How often the lease on the node list lapsed.
     pub list_lapses: Counter,
+    /// Connections to nodes and discovery.
+    pub connections: Rc<ReuseMonitor>,
+    /// Ends of attempts, by status.
+    attempt_ends: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 /// Counts a request as in flight until dropped.
@@ -82,6 +87,15 @@
     violations: BTreeMap<&'static str, u64>,
 }
 
+/// Response body of `/api/connections`.
+#[derive(Serialize)]
+pub struct ConnectionsReport {
+    #[serde(flatten)]
+    reuse: ReuseReport,
+    /// How attempts have ended, by status.
+    attempts: BTreeMap<&'static str, u64>,
+}
+
 impl Metrics {
     pub fn new(classes: &[String], records_latency: bool) -> Rc<Self> {
         let metrics = Metrics {
@@ -93,6 +107,8 @@
             origin_refusals: Counter::default(),
             violations: Violations::default(),
             list_lapses: Counter::default(),
+            connections: Rc::default(),
+            attempt_ends: RefCell::default(),
         };
         metrics.add_classes(classes);
         Rc::new(metrics)
@@ -147,6 +163,16 @@
         }
     }
 
+    /// Counts the end of an attempt.
+    pub fn record_attempt_end(&self, status: AttemptStatus) {
+        *self.attempt_ends.borrow_mut().entry(status.name()).or_default() += 1;
+    }
+
+    /// Body of `/api/connections`.
+    pub fn connections_report(&self) -> ConnectionsReport {
+        ConnectionsReport { reuse: self.connections.report(), attempts: self.attempt_ends.borrow().clone() }
+    }
+
     /// Body of `/api/violations`.
     pub fn violations_report(&self) -> ViolationsReport {
         ViolationsReport { list_lapses: self.list_lapses.get(), violations: self.violations.by_name() }
--- a/crates/flintwell/src/nodes/attempt.rs
+++ b/crates/flintwell/src/nodes/attempt.rs
@@ -3,7 +3,8 @@
 use crate::clients::body::{BufferBudget, MAX_BODY_BYTES, UpstreamBody};
 use crate::clients::decode::ClientRequest;
 use crate::management::metrics::Metrics;
-use crate::nodes::connection::{BodyLimits, Connection, ExchangeError, FailureCause, Progress, ReceivedBody};
+use crate::nodes::connection::{BodyLimits, Connection, Progress, ReceivedBody};
+use crate::nodes::exchange_error::{ExchangeError, FailureCause};
 use crate::nodes::pool::Pool;
 use crate::nodes::response_body::{ResponseBody, StreamedBody};
 use crate::nodes::send_guard::{PendingSend, SendGuard};
--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -2,30 +2,30 @@
 //! retried here.
 
 use crate::clients::body::UpstreamBody;
-use crate::clients::framing::{BodyDecoder, ResponseScanner};
+use crate::clients::framing::BodyDecoder;
+use crate::nodes::exchange_error::{
+    ExchangeError, FailureCause, Stage, connect_failure_cause, exchange_failure_cause,
+};
+use crate::nodes::metered_stream::{ExchangeRecord, MeteredStream, OutgoingMessage, TrackedBody};
+use crate::nodes::reuse::{Peer, Unusable};
 use crate::nodes::stream::SharedStream;
-use crate::process::counter::{Counter, increment};
+use crate::process::counter::Counter;
 use bytes::{Bytes, BytesMut};
-use flintwell_core::interface::AttemptStatus;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use rustix::io::Errno;
 use socket2::SockRef;
-use std::cell::{Cell, RefCell};
-use std::error::Error;
+use std::cell::Cell;
 use std::fmt;
 use std::future::pending;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 use tokio::task::AbortHandle;
@@ -33,197 +33,9 @@
 
 const MAX_READ_BUFFER_BYTES: usize = 32_768; // for each of several hundred connections
 const UNKNOWN_LENGTH_HOLD: Duration = Duration::from_millis(100); // for a response of unknown length to end
+const PEEKED_BYTES: usize = 64; // enough to tell some bytes from none, and roughly how many
 const MAX_SHORT_BODY_BYTES: u64 = 65_536; // a longer body is never written together with its head
 
-/// How far an exchange had come when it failed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Stage {
-    /// No connection, or no byte of this exchange written to it: the node has not run the request.
-    #[default]
-    Unwritten,
-    /// A long request written whole, or a short one at least in part: the node may have run it.
-    Written,
-}
-
-/// Why an exchange failed.
-#[derive(Debug, PartialEq, Eq)]
-pub enum FailureCause {
-    TimedOut,
-    Closed(String),
-    /// The peer's response was malformed or not acceptable.
-    InvalidResponse(String),
-    /// The node was removed from the list, or began to drain, while the connection was being established.
-    Unlisted,
-    /// The process may not open a further connection: its limit on open sockets is reached.
-    ConnectionLimit,
-    /// An earlier attempt consumed the body, which is not buffered.
-    BodyConsumed,
-    /// The client has disconnected.
-    ClientDisconnected,
-    /// The attempt was chosen too long ago.
-    Expired,
-    /// The lease on the node list has lapsed.
-    Lapsed,
-    /// The remote host or the network path did not accept the connection.
-    Unreachable(String),
-    /// The local system had no socket, port, route or memory for a connection.
-    LocalFault(String),
-}
-
-/// A failed exchange.
-#[derive(Debug, PartialEq, Eq)]
-pub struct ExchangeError {
-    pub stage: Stage,
-    pub cause: FailureCause,
-}
-
-impl ExchangeError {
-    /// A failure before any byte of the request was written.
-    pub fn before_write(cause: FailureCause) -> Self {
-        ExchangeError { stage: Stage::Unwritten, cause }
-    }
-
-    /// The outcome that is reported for the attempt.
-    pub fn status(&self) -> AttemptStatus {
-        match (self.stage, &self.cause) {
-            (
-                Stage::Unwritten,
-                FailureCause::Unlisted
-                | FailureCause::ConnectionLimit
-                | FailureCause::BodyConsumed
-                | FailureCause::ClientDisconnected
-                | FailureCause::Expired
-                | FailureCause::Lapsed
-                // Danger: a local fault reported as a failed connection would count against a healthy node.
-                | FailureCause::LocalFault(_),
-            ) => AttemptStatus::NotSent,
-            (Stage::Unwritten, _) => AttemptStatus::ConnectFailed,
-            (_, FailureCause::TimedOut) => AttemptStatus::TimedOut,
-            (_, FailureCause::InvalidResponse(_)) => AttemptStatus::InvalidResponse,
-            (
-                _,
-                FailureCause::Closed(_)
-                | FailureCause::Unlisted
-                | FailureCause::ConnectionLimit
-                | FailureCause::BodyConsumed
-                | FailureCause::ClientDisconnected
-                | FailureCause::Expired
-                | FailureCause::Lapsed
-                | FailureCause::Unreachable(_)
-                | FailureCause::LocalFault(_),
-            ) => AttemptStatus::Reset,
-        }
-    }
-}
-
-impl fmt::Display for ExchangeError {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let stage = match self.stage {
-            Stage::Unwritten => "before the request was written",
-            Stage::Written => "after the request was written",
-        };
-        match &self.cause {
-            FailureCause::TimedOut => write!(f, "timed out {stage}"),
-            FailureCause::Closed(why) => write!(f, "connection lost {stage}: {why}"),
-            FailureCause::InvalidResponse(why) => write!(f, "invalid response: {why}"),
-            FailureCause::Unlisted => write!(f, "node is no longer listed as ready"),
-            FailureCause::ConnectionLimit => write!(f, "limit on open connections reached"),
-            FailureCause::BodyConsumed => write!(f, "request body was consumed by an earlier attempt"),
-            FailureCause::ClientDisconnected => write!(f, "client has disconnected"),
-            FailureCause::Expired => write!(f, "attempt was chosen too long ago"),
-            FailureCause::Lapsed => write!(f, "lease on the node list has lapsed"),
-            FailureCause::Unreachable(why) => write!(f, "cannot connect: {why}"),
-            FailureCause::LocalFault(why) => write!(f, "cannot connect because of a local fault: {why}"),
-        }
-    }
-}
-
-/// A stream that counts the bytes written, which shows whether an exchange has begun, and tracks the framing
-/// of what is read.
-struct MeteredStream {
-    stream: SharedStream,
-    bytes_written: Rc<Cell<u64>>,
-    message: Rc<OutgoingMessage>,
-    scanner: Rc<RefCell<ResponseScanner>>,
-}
-
-/// Write progress of the request of the current exchange.
-#[derive(Default)]
-struct OutgoingMessage {
-    /// The last byte of the body was handed to the HTTP connection.
-    is_body_done: Cell<bool>,
-    /// The last byte was written to the socket.
-    is_written: Cell<bool>,
-    /// Incremented once the message is written whole.
-    written_counter: Cell<Option<Counter>>,
-    /// Called once the first bytes are written.
-    on_first_write: Cell<Option<Box<dyn FnOnce()>>>,
-}
-
-/// A request body that records when its last byte was handed out.
-struct TrackedBody {
-    body: UpstreamBody,
-    message: Rc<OutgoingMessage>,
-}
-
-impl Body for TrackedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let polled = Pin::new(&mut self.body).poll_frame(cx);
-        self.message.is_body_done.set(matches!(polled, Poll::Ready(None)) || self.body.is_end_stream());
-        polled
-    }
-    fn is_end_stream(&self) -> bool {
-        let ended = self.body.is_end_stream();
-        self.message.is_body_done.set(ended);
-        ended
-    }
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-impl AsyncRead for MeteredStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.scanner.borrow().halted {
-            return Poll::Pending;
-        }
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.scanner.borrow_mut().scan(&buf.filled()[before..]);
-        read
-    }
-}
-
-impl AsyncWrite for MeteredStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(bytes)) = polled {
-            self.bytes_written.set(self.bytes_written.get() + bytes as u64);
-            if let Some(on_first_write) = self.message.on_first_write.take() {
-                on_first_write();
-            }
-        }
-        polled
-    }
-    /// Called by hyper once everything that was queued so far is written.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.message.is_body_done.get() && !self.message.is_written.replace(true) {
-            self.message.written_counter.take().inspect(|count| increment(count));
-        }
-        Poll::Ready(Ok(()))
-    }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// How far an exchange has come on its connection; still readable after the exchange was dropped.
 #[derive(Default)]
 pub struct Progress {
@@ -297,29 +109,34 @@
     stream: Weak<TcpStream>,
     bytes_written: Rc<Cell<u64>>,
     message: Rc<OutgoingMessage>,
-    scanner: Rc<RefCell<ResponseScanner>>,
+    exchanges: Rc<ExchangeRecord>,
     driver: AbortHandle,
     pub idle_since: Instant,
 }
 
 impl Connection {
     /// Opens a connection; `permit` is returned when its socket is closed.
-    pub async fn dial(addr: SocketAddr, permit: Option<OwnedSemaphorePermit>) -> Result<Self, ExchangeError> {
+    pub async fn dial(
+        addr: SocketAddr,
+        peer: Peer,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Result<Self, ExchangeError> {
         let closed =
             |error: &dyn fmt::Display| ExchangeError::before_write(FailureCause::Closed(error.to_string()));
         let stream = TcpStream::connect(addr)
             .await
             .map_err(|e| ExchangeError::before_write(connect_failure_cause(&e)))?;
         stream.set_nodelay(true).map_err(|e| closed(&e))?;
+        peer.monitor.on_opened();
         let (stream, bytes_written) = (Rc::new(stream), Rc::new(Cell::new(0)));
         let weak_stream = Rc::downgrade(&stream);
         let message = Rc::<OutgoingMessage>::default();
-        let scanner = Rc::<RefCell<ResponseScanner>>::default();
+        let exchanges = Rc::new(ExchangeRecord::new(peer));
         let metered = MeteredStream {
             stream: SharedStream(stream),
             bytes_written: bytes_written.clone(),
             message: message.clone(),
-            scanner: scanner.clone(),
+            exchanges: exchanges.clone(),
         };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
@@ -336,7 +153,7 @@
             stream: weak_stream,
             bytes_written,
             message,
-            scanner,
+            exchanges,
             driver: driver.abort_handle(),
             idle_since: Instant::now(),
         })
@@ -344,11 +161,35 @@
 
     /// Waits until the previous exchange is over; returns the connection if it can take another one.
     pub async fn ready(mut self) -> Option<Self> {
-        self.sender.ready().await.ok()?;
+        match self.check_ready().await {
+            Ok(()) => Some(self),
+            Err(reason) => {
+                self.exchanges.record_unusable(self.idle_since.elapsed(), reason);
+                None
+            }
+        }
+    }
+
+    async fn check_ready(&mut self) -> Result<(), Unusable> {
+        self.sender.ready().await.map_err(|_| Unusable::Closed)?;
+        let stream = self.stream.upgrade().ok_or(Unusable::Closed)?;
         // Danger: bytes that a node sent after its last response would be read as the response to the next
         // request; and a connection closed by the node accepts no further request.
-        let peeked = SockRef::from(&*self.stream.upgrade()?).peek(&mut [MaybeUninit::uninit()]);
-        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock).then_some(self)
+        match SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit(); PEEKED_BYTES]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Ok(bytes) if bytes > 0 => {
+                self.exchanges.on_unread(bytes);
+                Err(Unusable::Excess)
+            }
+            _ => Err(Unusable::Closed),
+        }
+    }
+
+    /// The response was received whole, so the connection is idle from now on. Danger: bytes of a response that
+    /// was not received whole would pass for excess ones.
+    pub fn end_exchange(&mut self) {
+        self.exchanges.end();
+        self.idle_since = Instant::now();
     }
 
     /// Whether nothing was ever sent on it.
@@ -363,23 +204,22 @@
 
     /// Stops reading from the connection.
     pub fn halt(&self) {
-        self.scanner.borrow_mut().halted = true;
+        self.exchanges.halt();
     }
 
     /// Whether reading was stopped.
     pub fn is_halted(&self) -> bool {
-        self.scanner.borrow().halted
+        self.exchanges.is_halted()
     }
 
     /// The number of bytes read of the response's body and the framing of the rest, if that is known.
     pub fn body_progress(&self) -> Option<(u64, BodyDecoder)> {
-        let scanner = self.scanner.borrow();
-        scanner.decoder.map(|coding| (scanner.body_bytes, coding))
+        self.exchanges.body_progress()
     }
 
     /// When the first byte of the most recent response was read.
     pub fn first_byte_at(&self) -> Option<Instant> {
-        self.scanner.borrow().first_byte_at
+        self.exchanges.first_byte_at()
     }
 
     /// The socket, for a process that takes over the rest of the response.
@@ -396,7 +236,7 @@
         progress: &Progress,
     ) -> Result<Reply, ExchangeError> {
         progress.baseline.set(Some((self.bytes_written.clone(), self.bytes_written.get())));
-        self.scanner.replace(ResponseScanner::default());
+        self.exchanges.begin();
         self.message.is_body_done.set(false);
         self.message.is_written.set(false);
         let is_long = request.body().size_hint().exact().is_none_or(|length| length > MAX_SHORT_BODY_BYTES);
@@ -409,7 +249,6 @@
         let body = receive_body(body, limits, progress)
             .await
             .map_err(|cause| ExchangeError { stage: Stage::Written, cause })?;
-        self.idle_since = Instant::now();
         Ok(Reply { status: head.status, headers: head.headers, body })
     }
 }
@@ -463,38 +302,6 @@
     }
 }
 
-/// Tells local faults from remote ones where a connection could not be established.
-fn connect_failure_cause(error: &io::Error) -> FailureCause {
-    let local = [
-        Errno::MFILE,
-        Errno::NFILE,
-        Errno::NOBUFS,
-        Errno::NOMEM,
-        Errno::ADDRNOTAVAIL,
-        Errno::ADDRINUSE,
-        Errno::AGAIN,
-        Errno::INTR,
-        Errno::NETUNREACH,
-        Errno::NETDOWN,
-        Errno::ACCESS,
-        Errno::PERM,
-    ];
-    match Errno::from_io_error(error) {
-        Some(code) if local.contains(&code) => FailureCause::LocalFault(error.to_string()),
-        _ => FailureCause::Unreachable(error.to_string()),
-    }
-}
-
-/// Tells a malformed response from a lost connection.
-fn exchange_failure_cause(error: &(dyn Error + 'static)) -> FailureCause {
-    let parse = error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse);
-    let io = error.source().and_then(|source| source.downcast_ref::<io::Error>()).map(io::Error::kind);
-    match parse || matches!(io, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)) {
-        true => FailureCause::InvalidResponse(error.to_string()),
-        false => FailureCause::Closed(error.to_string()),
-    }
-}
-
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- /dev/null
+++ b/crates/flintwell/src/nodes/metered_stream.rs
@@ -0,0 +1,209 @@
+//! The byte stream below the HTTP client: write progress of the current request, and which exchange the bytes
+//! read belong to.
+
+use crate::clients::body::UpstreamBody;
+use crate::clients::framing::{BodyDecoder, ResponseScanner};
+use crate::nodes::reuse::{ExcessBytes, Peer, Unusable};
+use crate::nodes::stream::SharedStream;
+use crate::process::counter::{Counter, increment};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The exchanges on one connection, as the bytes read from it show them.
+pub struct ExchangeRecord {
+    peer: Peer,
+    opened_at: Instant,
+    scanner: RefCell<ResponseScanner>,
+    /// Number of exchanges begun.
+    count: Cell<u32>,
+    is_in_progress: Cell<bool>,
+    /// When the most recent response ended.
+    ended_at: Cell<Option<Instant>>,
+    /// Bytes arrived that belong to no response.
+    has_excess: Cell<bool>,
+}
+
+impl ExchangeRecord {
+    /// The record of a connection that was just opened.
+    pub fn new(peer: Peer) -> Self {
+        ExchangeRecord {
+            peer,
+            opened_at: Instant::now(),
+            scanner: RefCell::default(),
+            count: Cell::new(0),
+            is_in_progress: Cell::new(false),
+            ended_at: Cell::new(None),
+            has_excess: Cell::new(false),
+        }
+    }
+
+    /// The next exchange begins.
+    pub fn begin(&self) {
+        if self.count.get() > 0 {
+            self.peer.monitor.on_reused();
+        }
+        self.scanner.replace(ResponseScanner::default());
+        self.count.set(self.count.get() + 1);
+        self.is_in_progress.set(true);
+    }
+
+    /// The response was received whole.
+    pub fn end(&self) {
+        self.is_in_progress.set(false);
+        self.ended_at.set(Some(Instant::now()));
+    }
+
+    /// The idle connection can't be used again.
+    pub fn record_unusable(&self, idle: Duration, reason: Unusable) {
+        self.peer.monitor.on_unusable(&self.peer.name, idle, reason);
+    }
+
+    /// Bytes have arrived on the idle connection, and are not read.
+    pub fn on_unread(&self, bytes: usize) {
+        self.record_excess(bytes, self.idle_time());
+    }
+
+    fn idle_time(&self) -> Duration {
+        self.ended_at.get().map_or(Duration::ZERO, |ended_at| ended_at.elapsed())
+    }
+
+    /// Bytes were read from the connection.
+    fn on_bytes(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if !self.is_in_progress.get() {
+            return self.record_excess(bytes.len(), self.idle_time());
+        }
+        let excess = self.scanner.borrow_mut().scan(bytes);
+        if excess > 0 {
+            self.record_excess(excess, Duration::ZERO);
+        }
+    }
+
+    fn record_excess(&self, bytes: usize, lateness: Duration) {
+        if self.has_excess.replace(true) {
+            return;
+        }
+        self.peer.on_excess(&ExcessBytes {
+            bytes,
+            lateness,
+            connection_age: self.opened_at.elapsed(),
+            exchanges: self.count.get(),
+        });
+    }
+
+    /// Stops reading from the connection.
+    pub fn halt(&self) {
+        self.scanner.borrow_mut().halted = true;
+    }
+
+    /// Whether reading was stopped.
+    pub fn is_halted(&self) -> bool {
+        self.scanner.borrow().halted
+    }
+
+    /// The number of bytes read of the response's body and the framing of the rest, if that is known.
+    pub fn body_progress(&self) -> Option<(u64, BodyDecoder)> {
+        let scanner = self.scanner.borrow();
+        scanner.decoder.map(|decoder| (scanner.body_bytes, decoder))
+    }
+
+    /// When the first byte of the most recent response was read.
+    pub fn first_byte_at(&self) -> Option<Instant> {
+        self.scanner.borrow().first_byte_at
+    }
+}
+
+/// A stream that counts the bytes written, which shows whether an exchange has begun, and attributes what is
+/// read to the exchanges.
+pub struct MeteredStream {
+    pub stream: SharedStream,
+    pub bytes_written: Rc<Cell<u64>>,
+    pub message: Rc<OutgoingMessage>,
+    pub exchanges: Rc<ExchangeRecord>,
+}
+
+/// Write progress of the request of the current exchange.
+#[derive(Default)]
+pub struct OutgoingMessage {
+    /// The last byte of the body was handed to the HTTP connection.
+    pub is_body_done: Cell<bool>,
+    /// The last byte was written to the socket.
+    pub is_written: Cell<bool>,
+    /// Incremented once the message is written whole.
+    pub written_counter: Cell<Option<Counter>>,
+    /// Called once the first bytes are written.
+    pub on_first_write: Cell<Option<Box<dyn FnOnce()>>>,
+}
+
+/// A request body that records when its last byte was handed out.
+pub struct TrackedBody {
+    pub body: UpstreamBody,
+    pub message: Rc<OutgoingMessage>,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        self.message.is_body_done.set(matches!(polled, Poll::Ready(None)) || self.body.is_end_stream());
+        polled
+    }
+    fn is_end_stream(&self) -> bool {
+        let ended = self.body.is_end_stream();
+        self.message.is_body_done.set(ended);
+        ended
+    }
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.exchanges.is_halted() {
+            return Poll::Pending;
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.exchanges.on_bytes(&buf.filled()[before..]);
+        read
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = polled {
+            self.bytes_written.set(self.bytes_written.get() + bytes as u64);
+            if let Some(on_first_write) = self.message.on_first_write.take() {
+                on_first_write();
+            }
+        }
+        polled
+    }
+    /// Called by hyper once everything that was queued so far is written.
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.message.is_body_done.get() && !self.message.is_written.replace(true) {
+            self.message.written_counter.take().inspect(|count| increment(count));
+        }
+        Poll::Ready(Ok(()))
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/flintwell/src/nodes/mod.rs
+++ b/crates/flintwell/src/nodes/mod.rs
@@ -2,8 +2,11 @@
 
 pub mod attempt;
 pub mod connection;
+pub mod exchange_error;
+pub mod metered_stream;
 pub mod pool;
 pub mod response_body;
 pub mod response_transfer;
+pub mod reuse;
 pub mod send_guard;
 pub mod stream;
--- a/crates/flintwell/src/nodes/pool.rs
+++ b/crates/flintwell/src/nodes/pool.rs
@@ -1,6 +1,8 @@
 //! Connection pool: the address of each node, its idle connections, and the limit on open connections.
 
-use crate::nodes::connection::{Connection, ExchangeError, FailureCause};
+use crate::nodes::connection::Connection;
+use crate::nodes::exchange_error::{ExchangeError, FailureCause};
+use crate::nodes::reuse::{Peer, ReuseMonitor, Unusable};
 use crate::process::clock::to_duration;
 use flintwell_core::interface::{Micros, NodeId};
 use std::cell::{Cell, RefCell};
@@ -49,10 +51,16 @@
     max_idle: Duration,
     /// How long a connection may stay idle before reuse, adapted to the resets that are seen.
     idle_limit: Cell<Duration>,
+    pub monitor: Rc<ReuseMonitor>,
 }
 
 impl Pool {
-    pub fn new(connections: usize, dial_timeout: Micros, keepalive: Micros) -> Rc<Self> {
+    pub fn new(
+        connections: usize,
+        dial_timeout: Micros,
+        keepalive: Micros,
+        monitor: Rc<ReuseMonitor>,
+    ) -> Rc<Self> {
         let max_idle = to_duration(keepalive).mul_f64(MAX_IDLE_FACTOR);
         Rc::new(Pool {
             nodes: RefCell::default(),
@@ -60,6 +68,7 @@
             dial_timeout: to_duration(dial_timeout),
             max_idle,
             idle_limit: Cell::new(max_idle),
+            monitor,
         })
     }
 
@@ -102,7 +111,12 @@
         let mut nodes = self.nodes.borrow_mut();
         let entry = nodes.get_mut(node)?;
         while let Some(connection) = entry.idle.pop() {
-            if self.is_reusable(&connection) {
+            let idle = connection.idle_since.elapsed();
+            if connection.is_closed() {
+                self.monitor.on_unusable(node, idle, Unusable::Closed);
+            } else if idle >= self.idle_limit.get() {
+                self.monitor.on_unusable(node, idle, Unusable::Expired);
+            } else {
                 return Some(connection);
             }
         }
@@ -137,7 +151,8 @@
         let permit = timeout(PERMIT_TIMEOUT, self.permits.clone().acquire_owned());
         let permit =
             permit.await.map_err(|_| ExchangeError::before_write(FailureCause::ConnectionLimit))?.ok();
-        let dialled = timeout(self.dial_timeout, Connection::dial(addr, permit));
+        let peer = Peer { name: node.clone(), monitor: self.monitor.clone() };
+        let dialled = timeout(self.dial_timeout, Connection::dial(addr, peer, permit));
         let connection = dialled.await.unwrap_or(Err(ExchangeError::before_write(FailureCause::TimedOut)))?;
         // Danger: a node that began to drain while the connection was being established would receive a
         // request after its drain grace period.
@@ -156,7 +171,8 @@
     }
 
     /// Returns a connection to the pool after its exchange; drops it if the node was removed.
-    pub fn release(&self, node: &NodeId, connection: Connection) {
+    pub fn release(&self, node: &NodeId, mut connection: Connection) {
+        connection.end_exchange();
         if let Some(entry) = self.nodes.borrow_mut().get_mut(node) {
             entry.idle.push(connection);
         }
--- a/crates/flintwell/src/nodes/response_transfer.rs
+++ b/crates/flintwell/src/nodes/response_transfer.rs
@@ -85,12 +85,12 @@
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
             let (out, chunked, mut received) = (&mut self.unwritten, self.chunked, 0);
-            let is_valid = coding.decode(&chunk[..bytes], |data| {
+            let rest = coding.decode(&chunk[..bytes], |data| {
                 received += data.len() as u64;
                 append_framed(out, chunked, data);
             });
             // Danger: an endless response would be forwarded for as long as its client reads.
-            let left = self.max_remaining_bytes.checked_sub(received).filter(|_| is_valid);
+            let left = self.max_remaining_bytes.checked_sub(received).filter(|_| rest.is_some());
             self.max_remaining_bytes = left.ok_or(io::ErrorKind::InvalidData)?;
             self.flush_unwritten().await?;
         }
--- a/crates/flintwell/src/nodes/send_guard.rs
+++ b/crates/flintwell/src/nodes/send_guard.rs
@@ -4,7 +4,7 @@
 use crate::clients::client_socket::ClientSocket;
 use crate::fleet::lease::ListLease;
 use crate::log_line;
-use crate::nodes::connection::{ExchangeError, FailureCause};
+use crate::nodes::exchange_error::{ExchangeError, FailureCause};
 use crate::nodes::pool::Pool;
 use crate::process::clock::to_duration;
 use crate::process::counter::{Counter, increment};
--- a/crates/flintwell/src/process/log.rs
+++ b/crates/flintwell/src/process/log.rs
@@ -8,29 +8,53 @@
 use std::time::{Duration, Instant};
 
 const MAX_LINES: u32 = 20; // per window
+const MAX_REQUEST_LINES: u32 = 10; // per window, of lines about single requests
 const MAX_QUEUED_LINES: usize = 64; // some seconds of output
 const WINDOW: Duration = Duration::from_secs(1);
 
-thread_local! {
-    static WINDOW_LINES: Cell<(Option<Instant>, u32)> = const { Cell::new((None, 0)) };
+/// The lines of one kind in the current window.
+struct RateLimit {
+    max_lines: u32,
+    kind: &'static str,
+    window: Cell<(Option<Instant>, u32)>,
 }
 
-/// Whether another line may be logged in the current window. The first call after a window logs how many lines the
-/// window suppressed.
-pub fn within_rate_limit() -> bool {
-    WINDOW_LINES.with(|written| {
-        let (start, lines) = written.get();
+impl RateLimit {
+    const fn new(max_lines: u32, kind: &'static str) -> Self {
+        RateLimit { max_lines, kind, window: Cell::new((None, 0)) }
+    }
+
+    fn admit(&self) -> bool {
+        let (start, lines) = self.window.get();
         let now = Instant::now();
         if start.is_none_or(|start| now - start >= WINDOW) {
-            if lines > MAX_LINES {
-                write_line(format_args!("rate limit suppressed {} log lines", lines - MAX_LINES));
+            if lines > self.max_lines {
+                let suppressed = lines - self.max_lines;
+                write_line(format_args!("rate limit suppressed {suppressed} {} lines", self.kind));
             }
-            written.set((Some(now), 1));
+            self.window.set((Some(now), 1));
             return true;
         }
-        written.set((start, lines.saturating_add(1)));
-        lines < MAX_LINES
-    })
+        self.window.set((start, lines.saturating_add(1)));
+        lines < self.max_lines
+    }
+}
+
+thread_local! {
+    static LINES: RateLimit = const { RateLimit::new(MAX_LINES, "log") };
+    // Lines about requests have a limit of their own: in an overload they would suppress all others.
+    static REQUEST_LINES: RateLimit = const { RateLimit::new(MAX_REQUEST_LINES, "request log") };
+}
+
+/// Whether another line may be logged in the current window. The first call after a window logs how many lines the
+/// window suppressed.
+pub fn within_rate_limit() -> bool {
+    LINES.with(RateLimit::admit)
+}
+
+/// The same for a line about a single request.
+pub fn within_request_rate_limit() -> bool {
+    REQUEST_LINES.with(RateLimit::admit)
 }
 
 /// Queues a line for the writer thread, unconditionally. Standard error is written by a separate thread because a
@@ -59,3 +83,13 @@
         }
     };
 }
+
+/// Logs a formatted line about a single request, subject to a rate limit of its own.
+#[macro_export]
+macro_rules! log_request_line {
+    ($($text:tt)*) => {
+        if $crate::process::log::within_request_rate_limit() {
+            $crate::process::log::write_line(format_args!($($text)*));
+        }
+    };
+}
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -135,7 +135,12 @@
         None => None,
     };
     let metrics = Metrics::new(&config.network.classes, rollout_state.is_some());
-    let pool = Pool::new(connections, config.network.dial_timeout, config.network.idle_timeout);
+    let pool = Pool::new(
+        connections,
+        config.network.dial_timeout,
+        config.network.idle_timeout,
+        metrics.connections.clone(),
+    );
     let network = Reloadable::new(config.network);
     let (index, fleet_size) = (config.settings.proxy_index, config.settings.fleet_size);
     let (lists_pushed, drain_grace) = (!config.settings.list_on_request, network.get().drain_grace);
@@ -180,7 +185,7 @@
         lease.clone(),
         list_status.clone(),
         list_watch,
-        DiscoveryCalls::new(clock),
+        DiscoveryCalls::new(clock, metrics.connections.clone()),
     );
     discovery.load_initial(&initial_list);
     let discovery_dispatcher = dispatcher.clone();
--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -3,14 +3,15 @@
 use crate::clients::decode::ClientRequest;
 use crate::clients::response::ClientResponse;
 use crate::fleet::lease::ListLease;
+use crate::log_request_line;
 use crate::management::metrics::Metrics;
 use crate::nodes::attempt::{Attempt, AttemptService};
-use crate::nodes::connection::FailureCause;
+use crate::nodes::exchange_error::{ExchangeError, FailureCause};
 use crate::nodes::response_body::ResponseBody;
 use crate::process::clock::to_duration;
 use crate::process::counter::increment;
 use crate::requests::dispatcher::{Dispatcher, RequestHandle, Step};
-use flintwell_core::interface::{AttemptStatus, Micros};
+use flintwell_core::interface::{AttemptStatus, Micros, NodeId};
 use std::rc::Rc;
 use std::time::Instant;
 use tower::ServiceExt;
@@ -69,7 +70,7 @@
                 let sent_at = dispatcher.clock.now();
                 let is_fetch = dispatcher.is_origin(&node);
                 let chosen_at = Instant::now();
-                let attempt = Attempt { request: request.clone(), node, timeout, chosen_at };
+                let attempt = Attempt { request: request.clone(), node: node.clone(), timeout, chosen_at };
                 let result = attempt_service.clone().oneshot(attempt).await;
                 let latency = dispatcher.clock.now() - sent_at;
                 // A request that the origin refused has cost it work, too.
@@ -77,6 +78,11 @@
                 if is_fetch && reached_node {
                     increment(&metrics.origin_attempts);
                 }
+                let status = result.as_ref().map_or_else(ExchangeError::status, |response| response.status);
+                metrics.record_attempt_end(status);
+                if status != AttemptStatus::Served {
+                    log_attempt_end(&request, &node, status, latency, result.as_ref().err());
+                }
                 match result {
                     Ok(response) => {
                         if is_fetch && response.status == AttemptStatus::Full {
@@ -101,10 +107,33 @@
                     }
                 }
             }
-            Some(Step::Refuse { retry_after }) => return ClientResponse::Refused { retry_after },
+            Some(Step::Refuse { retry_after }) => {
+                log_request_line!("request {} is refused, retry after {retry_after} us", request.id);
+                return ClientResponse::Refused { retry_after };
+            }
             // A request without a response by its deadline is lost. So it fails then, whatever the policy does; a
             // failure makes no promise about the effect.
-            Some(Step::Fail) | None => return ClientResponse::Failed,
+            step @ (Some(Step::Fail) | None) => {
+                let reason =
+                    if step.is_some() { "no further attempt is allowed" } else { "its time is over" };
+                log_request_line!("request {} fails: {reason}", request.id);
+                return ClientResponse::Failed;
+            }
         }
     }
 }
+
+/// Logs an attempt that did not serve the request; the policy's next step for the request follows from it.
+fn log_attempt_end(
+    request: &ClientRequest,
+    node: &NodeId,
+    status: AttemptStatus,
+    latency: Micros,
+    error: Option<&ExchangeError>,
+) {
+    let (id, status) = (&request.id, status.name());
+    match error {
+        Some(error) => log_request_line!("request {id}: {status} at {node} after {latency} us: {error}"),
+        None => log_request_line!("request {id}: {status} at {node} after {latency} us"),
+    }
+}
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -3,7 +3,7 @@
 use crate::support::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -46,6 +46,34 @@
     assert!(table_size.trim().parse::<usize>().expect("number") >= 700, "{table_size}");
 }
 
+#[test]
+fn bytes_beyond_a_response_and_ends_of_attempts_are_counted_and_logged() {
+    let origin = StubServer::start(|_, number| match number {
+        0 => Action::RespondThenSend("value", Duration::from_millis(100), "more"),
+        _ => Action::Respond(500, ""),
+    });
+    let (config, at) = with_management(config(not_found_server().addr, origin.addr));
+    let mut log = None;
+    let proxy = Proxy::start_with_log(&config, |lines| log = Some(lines));
+    let mut log = log.expect("log");
+    assert_eq!(proxy.client().request("once", "k1").status(), 200);
+    let report = || serde_json::from_str::<Value>(&get(at, "/api/connections").1).expect("JSON");
+    wait_until("the bytes are counted", || report()["excess"] == 1);
+    assert_eq!(proxy.client().request("once", "k2").status(), 502);
+    let counts = report();
+    assert_eq!((&counts["attempts"]["served"], &counts["attempts"]["error"]), (&json!(1), &json!(1)));
+    let (mut lines, mut line) = (String::new(), String::new());
+    while !line.contains("fails") {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("line") > 0, "the log ended: {lines}");
+        lines += &line;
+    }
+    for part in ["o sent 4 bytes beyond response 1", "request k2: error at o", "request k2 fails: no further"]
+    {
+        assert!(lines.contains(part), "{part:?} is missing: {lines}");
+    }
+}
+
 #[test]
 fn management_calls_are_answered_and_invalid_ones_rejected() {
     let (config, at) = with_management(config(not_found_server().addr, not_found_server().addr));
