--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod peer_messaging;
 mod plans;
 mod rollout;
+mod second_responses;
 mod sockets;
 mod stale_list;
 mod streams;
