Let connections rest before reuse, and reject responses that may be made for another request

What callers saw: some milliseconds after a node's response came a second one. By then the connection carried the next request, whose client got it; the real response then answered the request after that, for as long as the connection was reused fast.

Cause: HTTP/1.1 matches by order alone, and ready() looked at the socket once, in the moment of reuse; the connection used last was taken first, so the gap was the shortest there is.

Fix, at whose response it is: a connection rests 25 ms after an exchange, and four times the greatest lateness seen in the last ten minutes (2 s at most); a rest that is short beside a response is waited for, otherwise another connection is opened. What a rest can't clear is checked: a body that came on the connection within 2 s for another path is no answer (unless equal bodies for different paths are ordinary here, seen on other connections); a "never ran" to an unsafe request on a connection that answered less than 400 ms before counts only once no other response has followed; a 503 that soon closes its connection; a response before the end of its request is rejected on a used connection. Decisions in nodes/rest_policy.rs. An idle limit below the rest would have ended reuse for good; it grows again.

--- a/crates/flintwell-settings/src/lib.rs
+++ b/crates/flintwell-settings/src/lib.rs
@@ -43,18 +43,22 @@
     all.collect::<Option<_>>().map(Some).ok_or_else(invalid)
 }
 
+/// How requests of a class may be repeated. Unknown values count as the strictest one.
+fn idempotency(class: &Value) -> Idempotency {
+    match string(class, "/effect") {
+        Some("safe") => Idempotency::Safe,
+        Some("keyed") => Idempotency::Keyed,
+        _ => Idempotency::Unsafe,
+    }
+}
+
 fn class(value: &Value, conf: &Value) -> Result<Class, String> {
     let duration = |path: &str| number(value, path).map(seconds_to_micros);
     let required = |path: &str| {
         duration(path).ok_or_else(|| format!("settings: use_cases has an entry without {}", &path[1..]))
     };
     Ok(Class {
-        // Unknown values count as the strictest one.
-        idempotency: match string(value, "/effect") {
-            Some("safe") => Idempotency::Safe,
-            Some("keyed") => Idempotency::Keyed,
-            _ => Idempotency::Unsafe,
-        },
+        idempotency: idempotency(value),
         dedup_scope: match string(value, "/group") {
             Some("all") => DedupScope::All,
             Some("zone") => DedupScope::Zone,
@@ -271,6 +275,8 @@
 #[derive(Clone, Debug)]
 pub struct NetworkSettings {
     pub classes: Vec<String>,
+    /// How requests may be repeated, by class.
+    pub idempotency: Vec<Idempotency>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -300,6 +306,7 @@
     }
     Ok(NetworkSettings {
         classes,
+        idempotency: list(conf, "/use_cases").iter().map(idempotency).collect(),
         tenants: names("/realms", "/name"),
         zones: names("/zones", ""),
         kinds: names("/flavors", ""),
--- a/crates/flintwell/src/clients/decode.rs
+++ b/crates/flintwell/src/clients/decode.rs
@@ -4,7 +4,7 @@
 use crate::clients::client_socket::ClientSocket;
 use crate::clients::framing::Framing;
 use crate::clients::malformed::Malformed;
-use flintwell_core::interface::{IncomingRequest, Key, Micros, RequestId};
+use flintwell_core::interface::{Idempotency, IncomingRequest, Key, Micros, RequestId};
 use flintwell_settings::NetworkSettings;
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
@@ -30,6 +30,8 @@
     pub client: ClientSocket,
     /// Index of the request's class in the settings.
     pub class: usize,
+    /// How the request may be repeated.
+    pub idempotency: Idempotency,
     tenant: usize,
     key: Option<Key>,
     expected_work: Option<Micros>,
@@ -89,10 +91,12 @@
         let client_timeout =
             number("x-deadline")?.ok_or(Malformed::Header("x-deadline"))?.min(MAX_DEADLINE_S);
         let key = path.path().rsplit('/').next().filter(|key| !key.is_empty()).map(Key::from);
+        let class = index_in("x-class", &network.classes)?.ok_or(Malformed::Header("x-class"))?;
         Ok(ClientRequest {
             id: required("x-request-id")?.into(),
             id_header: headers.get("x-request-id").cloned().ok_or(Malformed::Header("x-request-id"))?,
-            class: index_in("x-class", &network.classes)?.ok_or(Malformed::Header("x-class"))?,
+            class,
+            idempotency: network.idempotency.get(class).copied().unwrap_or(Idempotency::Unsafe),
             tenant: index_in("x-tenant", &network.tenants)?.unwrap_or(0),
             key,
             // An invalid cost hint is ignored; it is no reason to reject the request.
--- a/crates/flintwell/src/clients/framing.rs
+++ b/crates/flintwell/src/clients/framing.rs
@@ -187,6 +187,11 @@
 }
 
 impl ResponseScanner {
+    /// Whether the head of the response was read whole, apart from interim responses.
+    pub fn has_head(&self) -> bool {
+        self.head_complete
+    }
+
     /// Scans bytes that were read from the connection; returns how many of them lie beyond the end of the
     /// response, as far as its framing shows that.
     pub fn scan(&mut self, mut bytes: &[u8]) -> usize {
--- a/crates/flintwell/src/nodes/attempt.rs
+++ b/crates/flintwell/src/nodes/attempt.rs
@@ -4,12 +4,14 @@
 use crate::clients::decode::ClientRequest;
 use crate::management::metrics::Metrics;
 use crate::nodes::connection::{BodyLimits, Connection, Progress, ReceivedBody};
-use crate::nodes::exchange_error::{ExchangeError, FailureCause};
+use crate::nodes::exchange_error::{ExchangeError, FailureCause, Stage};
 use crate::nodes::pool::Pool;
 use crate::nodes::response_body::{ResponseBody, StreamedBody};
+use crate::nodes::reuse::Doubt;
 use crate::nodes::send_guard::{PendingSend, SendGuard};
 use crate::process::clock::to_duration;
-use flintwell_core::interface::{AttemptStatus, Micros, NodeId};
+use bytes::Bytes;
+use flintwell_core::interface::{AttemptStatus, Idempotency, Micros, NodeId};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use hyper::header::{HOST, HeaderValue};
@@ -128,13 +130,20 @@
         .body
         .upstream_body()
         .ok_or(ExchangeError::before_write(FailureCause::BodyConsumed))?;
+    let exchange_began_at = Instant::now();
     let reply = connection.exchange(message(attempt, body), RESPONSE_LIMITS, progress).await;
     pool.record_reuse(idle, reply.as_ref().is_err_and(|error| error.status() == AttemptStatus::Reset));
     let reply = reply?;
+    pool.monitor.record_response_time(exchange_began_at.elapsed());
     let status = attempt_status(reply.status, &reply.headers);
     let body = match reply.body {
         ReceivedBody::Whole(body) => {
-            pool.release(&attempt.node, connection);
+            check_response(&mut connection, attempt, status, &body).await?;
+            // Danger: if the refusal was made for another request, this one may still be running, and another attempt
+            // would run beside it. Closing the connection gives this one up.
+            if status != AttemptStatus::Full || !connection.is_doubtful() {
+                pool.release(&attempt.node, connection);
+            }
             body.into()
         }
         ReceivedBody::Partial(first_bytes, incoming, max_remaining) => {
@@ -153,9 +162,27 @@
     Ok(NodeResponse { status, first_on_connection, body })
 }
 
+/// Returns an error if the response may have been made for another request.
+async fn check_response(
+    connection: &mut Connection,
+    attempt: &Attempt,
+    status: AttemptStatus,
+    body: &Bytes,
+) -> Result<(), ExchangeError> {
+    let is_unsafe = attempt.request.idempotency == Idempotency::Unsafe;
+    let doubt = match status {
+        AttemptStatus::Served if connection.is_copy(&attempt.request.path, body) => Doubt::Copy,
+        // Danger: an unsafe request that was sent again because of a second response to another one would run twice.
+        status if status.never_ran() && is_unsafe && connection.is_followed().await => Doubt::Followed,
+        _ => return Ok(()),
+    };
+    Err(connection.reject(doubt, Stage::Written))
+}
+
 /// An idle connection that can take another exchange, or a new one.
 async fn acquire_connection(pool: &Pool, node: &NodeId) -> Result<Connection, ExchangeError> {
-    while let Some(connection) = pool.take_idle(node) {
+    while let Some((connection, rest)) = pool.take_idle(node) {
+        sleep(rest).await;
         if let Some(connection) = connection.ready().await {
             return Ok(connection);
         }
--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -7,24 +7,27 @@
     ExchangeError, FailureCause, Stage, connect_failure_cause, exchange_failure_cause,
 };
 use crate::nodes::metered_stream::{ExchangeRecord, MeteredStream, OutgoingMessage, TrackedBody};
-use crate::nodes::reuse::{Peer, Unusable};
+use crate::nodes::rest_policy::{DOUBT_WINDOW, ResponseDigest, ResponseHistory, is_distinct};
+use crate::nodes::reuse::{Doubt, Peer, Unusable};
 use crate::nodes::stream::SharedStream;
 use crate::process::counter::Counter;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, StatusCode};
+use hyper::{HeaderMap, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::fmt;
 use std::future::pending;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit};
@@ -36,6 +39,8 @@
 const PEEKED_BYTES: usize = 64; // enough to tell some bytes from none, and roughly how many
 const MAX_SHORT_BODY_BYTES: u64 = 65_536; // a longer body is never written together with its head
 
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0); // of a connection
+
 /// How far an exchange has come on its connection; still readable after the exchange was dropped.
 #[derive(Default)]
 pub struct Progress {
@@ -70,7 +75,8 @@
         self.on_first_write.set(Some(Box::new(callback)));
     }
 
-    fn stage(&self) -> Stage {
+    /// The stage that the exchange has reached.
+    pub fn stage(&self) -> Stage {
         let baseline = self.baseline.take();
         let begun = baseline.as_ref().is_some_and(|(written, before)| written.get() > *before);
         self.baseline.set(baseline);
@@ -111,6 +117,9 @@
     message: Rc<OutgoingMessage>,
     exchanges: Rc<ExchangeRecord>,
     driver: AbortHandle,
+    history: ResponseHistory,
+    /// Number of the connection within this process.
+    number: u64,
     pub idle_since: Instant,
 }
 
@@ -155,6 +164,8 @@
             message,
             exchanges,
             driver: driver.abort_handle(),
+            history: ResponseHistory::default(),
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
             idle_since: Instant::now(),
         })
     }
@@ -171,7 +182,13 @@
     }
 
     async fn check_ready(&mut self) -> Result<(), Unusable> {
-        self.sender.ready().await.map_err(|_| Unusable::Closed)?;
+        let is_ready = self.sender.ready().await.is_ok();
+        if self.exchanges.has_excess() {
+            return Err(Unusable::Excess);
+        }
+        if !is_ready {
+            return Err(Unusable::Closed);
+        }
         let stream = self.stream.upgrade().ok_or(Unusable::Closed)?;
         // Danger: bytes that a node sent after its last response would be read as the response to the next
         // request; and a connection closed by the node accepts no further request.
@@ -192,6 +209,42 @@
         self.idle_since = Instant::now();
     }
 
+    /// Whether the response is a copy of an earlier one on this connection that was made for another path. If it is
+    /// not, it is remembered.
+    pub fn is_copy(&mut self, path: &Uri, body: &Bytes) -> bool {
+        if !is_distinct(body) {
+            return false;
+        }
+        let response = ResponseDigest { body: hash_of(body), path: hash_of(path) };
+        let (monitor, now) = (&self.exchanges.peer().monitor, Instant::now());
+        if monitor.bodies_are_distinct() && self.history.has_copy_of(&response, now) {
+            return true;
+        }
+        monitor.record_body(response, self.number);
+        self.history.push(response, now);
+        false
+    }
+
+    /// Whether the response came so soon after the previous one that it may be a second response to the request
+    /// before.
+    pub fn is_doubtful(&self) -> bool {
+        self.exchanges.lateness().is_some_and(|lateness| lateness < DOUBT_WINDOW)
+    }
+
+    /// Whether another response follows the current one, which was received whole, within the time in which second
+    /// responses are expected.
+    pub async fn is_followed(&mut self) -> bool {
+        let window = DOUBT_WINDOW.saturating_sub(self.exchanges.lateness().unwrap_or(DOUBT_WINDOW));
+        self.end_exchange();
+        timeout(window, self.exchanges.excess()).await.is_ok()
+    }
+
+    /// Rejects the response to the current exchange; returns the error for it.
+    pub fn reject(&self, doubt: Doubt, stage: Stage) -> ExchangeError {
+        self.exchanges.record_doubt(doubt);
+        ExchangeError { stage, cause: FailureCause::InvalidResponse(doubt.to_string()) }
+    }
+
     /// Whether nothing was ever sent on it.
     pub fn is_unused(&self) -> bool {
         self.bytes_written.get() == 0
@@ -237,6 +290,7 @@
     ) -> Result<Reply, ExchangeError> {
         progress.baseline.set(Some((self.bytes_written.clone(), self.bytes_written.get())));
         self.exchanges.begin();
+        self.message.first_byte.set(self.bytes_written.get());
         self.message.is_body_done.set(false);
         self.message.is_written.set(false);
         let is_long = request.body().size_hint().exact().is_none_or(|length| length > MAX_SHORT_BODY_BYTES);
@@ -246,6 +300,9 @@
         let request = request.map(|body| TrackedBody { body, message: self.message.clone() });
         let failed = |error: hyper::Error| progress.error(exchange_failure_cause(&error));
         let (head, body) = self.sender.send_request(request).await.map_err(failed)?.into_parts();
+        if self.exchanges.is_early() {
+            return Err(self.reject(Doubt::Early, progress.stage()));
+        }
         let body = receive_body(body, limits, progress)
             .await
             .map_err(|cause| ExchangeError { stage: Stage::Written, cause })?;
@@ -302,6 +359,12 @@
     }
 }
 
+fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
--- a/crates/flintwell/src/nodes/metered_stream.rs
+++ b/crates/flintwell/src/nodes/metered_stream.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::body::UpstreamBody;
 use crate::clients::framing::{BodyDecoder, ResponseScanner};
-use crate::nodes::reuse::{ExcessBytes, Peer, Unusable};
+use crate::nodes::reuse::{Doubt, ExcessBytes, Peer, Unusable};
 use crate::nodes::stream::SharedStream;
 use crate::process::counter::{Counter, increment};
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 
 /// The exchanges on one connection, as the bytes read from it show them.
 pub struct ExchangeRecord {
@@ -26,8 +27,21 @@
     is_in_progress: Cell<bool>,
     /// When the most recent response ended.
     ended_at: Cell<Option<Instant>>,
+    /// When the response before the current exchange ended.
+    previous_ended_at: Cell<Option<Instant>>,
     /// Bytes arrived that belong to no response.
     has_excess: Cell<bool>,
+    excess_arrived: Notify,
+    /// The response in progress began before its request was written whole.
+    is_early: Cell<bool>,
+}
+
+/// How much of the current request is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    Nothing,
+    Part,
+    Whole,
 }
 
 impl ExchangeRecord {
@@ -40,7 +54,10 @@
             count: Cell::new(0),
             is_in_progress: Cell::new(false),
             ended_at: Cell::new(None),
+            previous_ended_at: Cell::new(None),
             has_excess: Cell::new(false),
+            excess_arrived: Notify::new(),
+            is_early: Cell::new(false),
         }
     }
 
@@ -52,6 +69,8 @@
         self.scanner.replace(ResponseScanner::default());
         self.count.set(self.count.get() + 1);
         self.is_in_progress.set(true);
+        self.is_early.set(false);
+        self.previous_ended_at.set(self.ended_at.get());
     }
 
     /// The response was received whole.
@@ -75,14 +94,16 @@
     }
 
     /// Bytes were read from the connection.
-    fn on_bytes(&self, bytes: &[u8]) {
+    fn on_bytes(&self, bytes: &[u8], written: Written) {
         if bytes.is_empty() {
             return;
         }
-        if !self.is_in_progress.get() {
+        if !self.is_in_progress.get() || written == Written::Nothing {
             return self.record_excess(bytes.len(), self.idle_time());
         }
         let excess = self.scanner.borrow_mut().scan(bytes);
+        let has_begun = self.scanner.borrow().has_head();
+        self.is_early.set(self.is_early.get() || has_begun && written == Written::Part);
         if excess > 0 {
             self.record_excess(excess, Duration::ZERO);
         }
@@ -92,6 +113,7 @@
         if self.has_excess.replace(true) {
             return;
         }
+        self.excess_arrived.notify_one();
         self.peer.on_excess(&ExcessBytes {
             bytes,
             lateness,
@@ -100,6 +122,39 @@
         });
     }
 
+    /// Whether bytes have arrived that belong to no response.
+    pub fn has_excess(&self) -> bool {
+        self.has_excess.get()
+    }
+
+    /// Waits until bytes arrive that belong to no response.
+    pub async fn excess(&self) {
+        while !self.has_excess() {
+            self.excess_arrived.notified().await;
+        }
+    }
+
+    /// How long after the end of the previous response the current one began; none for the first one.
+    pub fn lateness(&self) -> Option<Duration> {
+        Some(self.first_byte_at()?.duration_since(self.previous_ended_at.get()?))
+    }
+
+    /// Whether the response began before its request was written whole, on a connection that had carried
+    /// another request before.
+    pub fn is_early(&self) -> bool {
+        self.is_early.get() && self.count.get() > 1
+    }
+
+    /// The response is not accepted as that to the current request.
+    pub fn record_doubt(&self, doubt: Doubt) {
+        self.peer.on_doubt(doubt, self.lateness().unwrap_or_default());
+    }
+
+    /// The other end of the connection.
+    pub fn peer(&self) -> &Peer {
+        &self.peer
+    }
+
     /// Stops reading from the connection.
     pub fn halt(&self) {
         self.scanner.borrow_mut().halted = true;
@@ -134,6 +189,8 @@
 /// Write progress of the request of the current exchange.
 #[derive(Default)]
 pub struct OutgoingMessage {
+    /// Number of bytes written to the connection before this message.
+    pub first_byte: Cell<u64>,
     /// The last byte of the body was handed to the HTTP connection.
     pub is_body_done: Cell<bool>,
     /// The last byte was written to the socket.
@@ -169,6 +226,16 @@
     }
 }
 
+impl MeteredStream {
+    fn written(&self) -> Written {
+        match self.message.is_written.get() {
+            true => Written::Whole,
+            false if self.bytes_written.get() > self.message.first_byte.get() => Written::Part,
+            false => Written::Nothing,
+        }
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -180,7 +247,7 @@
         }
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.exchanges.on_bytes(&buf.filled()[before..]);
+        self.exchanges.on_bytes(&buf.filled()[before..], self.written());
         read
     }
 }
--- a/crates/flintwell/src/nodes/mod.rs
+++ b/crates/flintwell/src/nodes/mod.rs
@@ -7,6 +7,7 @@
 pub mod pool;
 pub mod response_body;
 pub mod response_transfer;
+pub mod rest_policy;
 pub mod reuse;
 pub mod send_guard;
 pub mod stream;
--- a/crates/flintwell/src/nodes/pool.rs
+++ b/crates/flintwell/src/nodes/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::nodes::connection::Connection;
 use crate::nodes::exchange_error::{ExchangeError, FailureCause};
+use crate::nodes::rest_policy::Rest;
 use crate::nodes::reuse::{Peer, ReuseMonitor, Unusable};
 use crate::process::clock::to_duration;
 use flintwell_core::interface::{Micros, NodeId};
@@ -26,6 +27,8 @@
 const IDLE_LIMIT_DECREASE: f64 = 0.7;
 // Applied at a response on a connection that had been idle for a good part of the limit.
 const IDLE_LIMIT_INCREASE: f64 = 1.1;
+// Applied at each new connection while the limit is shorter than the rest, so that reuse is tried again.
+const IDLE_LIMIT_RECOVERY: f64 = 1.02;
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(20); // for a closed connection, or an attempt, to end
 const MAX_SWEEP_INTERVAL: Duration = Duration::from_millis(250); // short compared with SPARE_IDLE_TIMEOUT
 // Sweeps within the maximum idle time, so that connections are closed within the margin of MAX_IDLE_FACTOR.
@@ -106,21 +109,33 @@
         }
     }
 
-    /// Takes an idle connection out of the pool, the most recently used first.
-    pub fn take_idle(&self, node: &NodeId) -> Option<Connection> {
+    /// Takes an idle connection out of the pool, with the time until it may be used. None if another one is to be
+    /// opened. Danger: a connection that has just carried a response may still bring another one, which would be
+    /// taken for the response to the next request.
+    pub fn take_idle(&self, node: &NodeId) -> Option<(Connection, Duration)> {
         let mut nodes = self.nodes.borrow_mut();
         let entry = nodes.get_mut(node)?;
-        while let Some(connection) = entry.idle.pop() {
-            let idle = connection.idle_since.elapsed();
-            if connection.is_closed() {
-                self.monitor.on_unusable(node, idle, Unusable::Closed);
-            } else if idle >= self.idle_limit.get() {
-                self.monitor.on_unusable(node, idle, Unusable::Expired);
-            } else {
-                return Some(connection);
-            }
+        self.remove_unusable(node, &mut entry.idle);
+        let required_rest = self.monitor.required_rest();
+        let has_rested = |connection: &Connection| connection.idle_since.elapsed() >= required_rest;
+        // Of those that may be used at once the most recently used one; else the one that has rested longest.
+        let chosen = entry.idle.iter().rposition(has_rested).unwrap_or(0);
+        match self.monitor.rest_of(entry.idle.get(chosen)?.idle_since.elapsed()) {
+            Rest::Wait(rest) => Some((entry.idle.remove(chosen), rest)),
+            Rest::TooLong => None,
         }
-        None
+    }
+
+    fn remove_unusable(&self, node: &NodeId, idle: &mut Vec<Connection>) {
+        idle.retain(|connection| {
+            let reason = match connection.is_closed() {
+                true => Unusable::Closed,
+                false if self.is_reusable(connection) => return true,
+                false => Unusable::Expired,
+            };
+            self.monitor.on_unusable(node, connection.idle_since.elapsed(), reason);
+            false
+        });
     }
 
     fn is_reusable(&self, connection: &Connection) -> bool {
@@ -143,6 +158,7 @@
     /// Opens a new connection to a node that is listed as ready.
     pub async fn dial(&self, node: &NodeId) -> Result<Connection, ExchangeError> {
         let addr = self.ready_addr(node)?;
+        self.recover_idle_limit();
         if self.permits.available_permits() == 0 {
             self.close_longest_idle();
         }
@@ -163,6 +179,14 @@
         }
     }
 
+    /// Raises the idle limit while it allows no connection to be used again.
+    fn recover_idle_limit(&self) {
+        let limit = self.idle_limit.get();
+        if limit <= self.monitor.required_rest() {
+            self.idle_limit.set(limit.mul_f64(IDLE_LIMIT_RECOVERY).min(self.max_idle));
+        }
+    }
+
     /// The address of a node, provided that it is listed as ready.
     pub fn ready_addr(&self, node: &NodeId) -> Result<SocketAddr, ExchangeError> {
         let nodes = self.nodes.borrow();
--- a/crates/flintwell/src/nodes/reuse.rs
+++ b/crates/flintwell/src/nodes/reuse.rs
@@ -1,13 +1,16 @@
-//! What is known about the reuse of connections: bytes that peers sent beyond their responses, and why
-//! connections were not used again. Each case is counted and logged.
+//! What connections have shown about their reuse: bytes that peers sent beyond their responses, responses that
+//! were not accepted, and why connections were not used again. Each case is counted and logged, and is evidence
+//! for the rest policy.
 
 use crate::log_line;
+use crate::nodes::rest_policy::{ResponseDigest, Rest, RestPolicy};
 use crate::process::counter::{Counter, increment};
 use serde::Serialize;
+use std::cell::RefCell;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Bytes that a peer sent although no response was due.
 pub struct ExcessBytes {
@@ -40,6 +43,27 @@
     }
 }
 
+/// Why the response to an exchange was not accepted as its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// It repeats an earlier response on the connection, made for another path.
+    Copy,
+    /// It came before the request was written whole.
+    Early,
+    /// It says that the request did not run, and another response followed.
+    Followed,
+}
+
+impl fmt::Display for Doubt {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Doubt::Copy => "copy of an earlier response on the connection",
+            Doubt::Early => "response before the end of the request",
+            Doubt::Followed => "response followed by another one",
+        })
+    }
+}
+
 /// Counters of connections to nodes and discovery since the start of the process.
 #[derive(Default)]
 struct Counters {
@@ -48,6 +72,11 @@
     excess: Counter,
     closed: Counter,
     expired: Counter,
+    resting: Counter,
+    waited: Counter,
+    copies: Counter,
+    early: Counter,
+    followed: Counter,
 }
 
 /// Part of the response body of `/api/connections`.
@@ -63,12 +92,25 @@
     closed: u64,
     /// The same because they were idle for too long.
     expired: u64,
+    /// Connections opened because the idle ones had not rested for long enough.
+    resting: u64,
+    /// Exchanges that waited for the rest of an idle connection to end.
+    waited: u64,
+    /// Responses not accepted because they repeat an earlier one on their connection.
+    copies: u64,
+    /// The same because they came before their request was written whole.
+    early: u64,
+    /// The same because another response followed them.
+    followed: u64,
+    /// How long a connection rests after an exchange now.
+    rest_ms: u64,
 }
 
 /// Counts and logs what happens to connections.
 #[derive(Default)]
 pub struct ReuseMonitor {
     counters: Counters,
+    policy: RefCell<RestPolicy>,
 }
 
 impl ReuseMonitor {
@@ -77,6 +119,11 @@
         increment(&self.counters.opened);
     }
 
+    /// A node's response took this long.
+    pub fn record_response_time(&self, took: Duration) {
+        self.policy.borrow_mut().record_response_time(took);
+    }
+
     /// A connection carries a further exchange.
     pub fn on_reused(&self) {
         increment(&self.counters.reused);
@@ -93,15 +140,47 @@
         log_line!("connection to {peer}, idle for {:.3} s, is not reused: {reason}", idle.as_secs_f64());
     }
 
+    /// What to do about a connection that has been idle for this long.
+    pub fn rest_of(&self, idle: Duration) -> Rest {
+        let rest = self.policy.borrow().rest_of(idle, Instant::now());
+        match rest {
+            Rest::Wait(Duration::ZERO) => {}
+            Rest::Wait(_) => increment(&self.counters.waited),
+            Rest::TooLong => increment(&self.counters.resting),
+        }
+        rest
+    }
+
+    /// How long a connection rests after an exchange.
+    pub fn required_rest(&self) -> Duration {
+        self.policy.borrow().required_rest(Instant::now())
+    }
+
+    /// Whether a copy shows that a response was made for another request.
+    pub fn bodies_are_distinct(&self) -> bool {
+        self.policy.borrow().bodies_are_distinct(Instant::now())
+    }
+
+    /// Remembers the body of a response that was accepted.
+    pub fn record_body(&self, response: ResponseDigest, connection: u64) {
+        self.policy.borrow_mut().record_body(response, connection, Instant::now());
+    }
+
     /// The counters.
     pub fn report(&self) -> ReuseReport {
-        let Counters { opened, reused, excess, closed, expired } = &self.counters;
+        let counters = &self.counters;
         ReuseReport {
-            opened: opened.get(),
-            reused: reused.get(),
-            excess: excess.get(),
-            closed: closed.get(),
-            expired: expired.get(),
+            opened: counters.opened.get(),
+            reused: counters.reused.get(),
+            excess: counters.excess.get(),
+            closed: counters.closed.get(),
+            expired: counters.expired.get(),
+            resting: counters.resting.get(),
+            waited: counters.waited.get(),
+            copies: counters.copies.get(),
+            early: counters.early.get(),
+            followed: counters.followed.get(),
+            rest_ms: self.required_rest().as_millis() as u64,
         }
     }
 }
@@ -117,6 +196,7 @@
     /// Bytes have arrived that belong to no response.
     pub fn on_excess(&self, excess: &ExcessBytes) {
         increment(&self.monitor.counters.excess);
+        self.monitor.policy.borrow_mut().record_late_response(excess.lateness, Instant::now());
         let ExcessBytes { bytes, lateness, connection_age, exchanges } = excess;
         log_line!(
             "{} sent {bytes} bytes beyond response {exchanges} of a connection, {:.1} ms after its end; \
@@ -126,4 +206,19 @@
             connection_age.as_secs_f64()
         );
     }
+
+    /// A response is not accepted; it began this long after the end of the one before it.
+    pub fn on_doubt(&self, doubt: Doubt, lateness: Duration) {
+        increment(match doubt {
+            Doubt::Copy => &self.monitor.counters.copies,
+            Doubt::Early => &self.monitor.counters.early,
+            Doubt::Followed => &self.monitor.counters.followed,
+        });
+        self.monitor.policy.borrow_mut().record_late_response(lateness, Instant::now());
+        log_line!(
+            "{}: response not accepted, {:.1} ms after the one before it: {doubt}",
+            self.name,
+            lateness.as_secs_f64() * 1e3
+        );
+    }
 }
