Don't let a second response of discovery confirm the node list

What was at stake: a copy of discovery's last response passed as the response to the next call on that connection.

A discovery that answers long polls at once without news is called on a new connection each time, as often as before.

--- a/crates/flintwell/src/fleet/discovery.rs
+++ b/crates/flintwell/src/fleet/discovery.rs
@@ -189,7 +189,8 @@
         let call = self.watch.begin_call(now, self.version.is_none());
         self.called_at = now;
         self.status.on_call(now);
-        Phase::Calling(self.calls.call(connection, self.version, call.wait), now + call.timeout)
+        let addr = *self.addr.borrow();
+        Phase::Calling(self.calls.call(connection, addr, self.version, call.wait), now + call.timeout)
     }
 
     fn on_answer(
@@ -231,11 +232,12 @@
         }
         self.status.on_answer(now, list.version);
         self.publish_lease();
-        self.connection = Some(connection);
         let kind = if list.full { ListUpdateKind::Snapshot } else { ListUpdateKind::Delta };
         self.publish(&list, kind);
         // Danger: a discovery that answers long polls at once would be called in a busy loop.
         let too_soon = is_current && list.is_empty() && now - self.called_at < MIN_EMPTY_RESPONSE_INTERVAL_US;
+        // On the same connection, the next response could not be told from a second one to this call.
+        self.connection = (!too_soon).then_some(connection);
         Phase::Pausing(if too_soon { now + MIN_EMPTY_RESPONSE_INTERVAL_US } else { now })
     }
 
--- a/crates/flintwell/src/fleet/discovery_calls.rs
+++ b/crates/flintwell/src/fleet/discovery_calls.rs
@@ -4,8 +4,8 @@
 
 use crate::clients::body::UpstreamBody;
 use crate::nodes::connection::{BodyLimits, Connection, Progress, ReceivedBody};
-use crate::nodes::exchange_error::{ExchangeError, FailureCause};
-use crate::nodes::reuse::{Peer, ReuseMonitor};
+use crate::nodes::exchange_error::{ExchangeError, FailureCause, Stage};
+use crate::nodes::reuse::{Doubt, Peer, ReuseMonitor};
 use crate::process::clock::Clock;
 use flintwell_core::interface::Micros;
 use flintwell_list_watch::Failure;
@@ -16,7 +16,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
@@ -109,10 +109,16 @@
         });
     }
 
-    /// Starts a call on this connection. With `since`, discovery sends what is newer than that version and
+    /// Starts a call on this connection to `addr`. With `since`, discovery sends what is newer than that version and
     /// may hold the call for up to `wait`; without it, discovery sends the whole list. At the limit of open
     /// calls the oldest is aborted.
-    pub fn call(&mut self, mut connection: Connection, since: Option<u64>, wait: Micros) -> CallNumber {
+    pub fn call(
+        &mut self,
+        mut connection: Connection,
+        addr: SocketAddr,
+        since: Option<u64>,
+        wait: Micros,
+    ) -> CallNumber {
         if self.open.len() >= MAX_OPEN_CALLS
             && let Some((_, oldest)) = self.open.pop_front()
         {
@@ -121,7 +127,7 @@
         let (number, clock) = (self.next_number, self.clock);
         self.next_number += 1;
         let task = self.tasks.spawn_local(async move {
-            let list = exchange(&mut connection, since, wait).await;
+            let list = confirmed_exchange(&mut connection, addr, since, wait).await;
             connection.end_exchange();
             let first_byte_at =
                 connection.first_byte_at().map_or(clock.now(), |instant| clock.micros_at(instant));
@@ -182,6 +188,27 @@
     timeout(DIAL_TIMEOUT, first).await.unwrap_or_else(unreachable)
 }
 
+/// Makes a call, and makes it again on a new connection if the response may be a second one to the call before. Danger:
+/// such a response would confirm the list as of when it came, though discovery made it earlier.
+async fn confirmed_exchange(
+    connection: &mut Connection,
+    addr: SocketAddr,
+    since: Option<u64>,
+    wait: Micros,
+) -> Result<NodeList, CallError> {
+    let called_at = Instant::now();
+    let list = exchange(connection, since, wait).await;
+    // An older list than the one in hand is rejected by the caller.
+    let differs = list.as_ref().is_ok_and(|list| since.is_some_and(|version| list.version != version));
+    if differs || !connection.is_doubtful() {
+        return list;
+    }
+    connection.reject(Doubt::NoNews, Stage::Written);
+    *connection = dial(addr, connection.peer()).await.map_err(CallError::from_exchange)?;
+    let elapsed = called_at.elapsed().as_micros() as Micros;
+    exchange(connection, since, (wait - elapsed).max(0)).await
+}
+
 async fn exchange(
     connection: &mut Connection,
     since: Option<u64>,
--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -245,6 +245,11 @@
         ExchangeError { stage, cause: FailureCause::InvalidResponse(doubt.to_string()) }
     }
 
+    /// The other end.
+    pub fn peer(&self) -> &Peer {
+        self.exchanges.peer()
+    }
+
     /// Whether nothing was ever sent on it.
     pub fn is_unused(&self) -> bool {
         self.bytes_written.get() == 0
--- a/crates/flintwell/src/nodes/reuse.rs
+++ b/crates/flintwell/src/nodes/reuse.rs
@@ -52,6 +52,8 @@
     Early,
     /// It says that the request did not run, and another response followed.
     Followed,
+    /// A response of discovery that has no news, so soon after the previous one.
+    NoNews,
 }
 
 impl fmt::Display for Doubt {
@@ -60,6 +62,7 @@
             Doubt::Copy => "copy of an earlier response on the connection",
             Doubt::Early => "response before the end of the request",
             Doubt::Followed => "response followed by another one",
+            Doubt::NoNews => "response without news right after another one",
         })
     }
 }
@@ -77,6 +80,7 @@
     copies: Counter,
     early: Counter,
     followed: Counter,
+    no_news: Counter,
 }
 
 /// Part of the response body of `/api/connections`.
@@ -102,6 +106,8 @@
     early: u64,
     /// The same because another response followed them.
     followed: u64,
+    /// Responses of discovery not accepted because they came right after another one, without news.
+    no_news: u64,
     /// How long a connection rests after an exchange now.
     rest_ms: u64,
 }
@@ -180,6 +186,7 @@
             copies: counters.copies.get(),
             early: counters.early.get(),
             followed: counters.followed.get(),
+            no_news: counters.no_news.get(),
             rest_ms: self.required_rest().as_millis() as u64,
         }
     }
@@ -213,8 +220,12 @@
             Doubt::Copy => &self.monitor.counters.copies,
             Doubt::Early => &self.monitor.counters.early,
             Doubt::Followed => &self.monitor.counters.followed,
+            Doubt::NoNews => &self.monitor.counters.no_news,
         });
-        self.monitor.policy.borrow_mut().record_late_response(lateness, Instant::now());
+        // It may well be the response to the call.
+        if doubt != Doubt::NoNews {
+            self.monitor.policy.borrow_mut().record_late_response(lateness, Instant::now());
+        }
         log_line!(
             "{}: response not accepted, {:.1} ms after the one before it: {doubt}",
             self.name,
--- a/crates/flintwell/tests/process/second_responses.rs
+++ b/crates/flintwell/tests/process/second_responses.rs
@@ -2,6 +2,7 @@
 //! for, so a client can tell whether it received its own.
 
 use crate::support::*;
+use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -16,6 +17,7 @@
 const ORIGIN_TIME: Duration = Duration::from_millis(12);
 const LOAD_TIME: Duration = Duration::from_secs(1);
 const CLIENTS: usize = 8;
+const AGE_SLACK_S: f64 = 0.05; // between the response and its first byte at the proxy
 const PIECE_DELAY: Duration = Duration::from_millis(2); // between the two halves of a request body
 
 /// What a node sends after its response.
@@ -241,3 +243,36 @@
     check_second_response(Second::Noise);
     check_second_response(Second::Interim);
 }
+
+// A second response of discovery confirmed the list as of when it came, so that nodes that had left could still be used.
+#[test]
+fn a_late_copy_of_a_list_does_not_confirm_it() {
+    for lateness_ms in [300, 50, 5] {
+        let nodes = [not_found_server(), not_found_server()];
+        let (mut config, management) = with_management(config(nodes[0].addr, nodes[1].addr));
+        let mut list = config["known"].clone();
+        list["version"] = json!(2);
+        let list: &'static str = list.to_string().leak();
+        let copy: &'static str =
+            format!("HTTP/1.1 200 -\r\nContent-Length: {}\r\n\r\n{list}", list.len()).leak();
+        let answered_at = Arc::new(Mutex::new(Instant::now()));
+        let answer_time = answered_at.clone();
+        let discovery = StubServer::start(move |_, number| match number {
+            0 => {
+                *answer_time.lock().expect("not poisoned") = Instant::now();
+                Action::RespondThenSend(list, Duration::from_millis(lateness_ms), copy)
+            }
+            _ => Action::Hang,
+        });
+        config["discovery"] = json!(discovery.addr.to_string());
+        let _proxy = Proxy::start(&config);
+        wait_until("discovery is called again", || discovery.requests().len() == 3);
+        let report = |path| serde_json::from_str::<Value>(&get(management, path).1).expect("JSON");
+        let elapsed = answered_at.lock().expect("not poisoned").elapsed().as_secs_f64();
+        let age = report("/api/list")["age_s"].as_f64().expect("age");
+        assert!(
+            age >= elapsed - AGE_SLACK_S,
+            "{lateness_ms} ms: {age} s old, {elapsed} s after the response"
+        );
+    }
+}
