Rig and stand-ins: responses name their request, nodes repeat some responses late, in the soak

The soak and the rig's checker could not see a response given to the wrong client. Bodies of the stand-ins now end with the id of the request, clients compare it, and the checker reports any other as rule 1, which no fault excuses. The checker's test has a case for it.

--- a/crates/flintwell-rig/src/check.rs
+++ b/crates/flintwell-rig/src/check.rs
@@ -58,6 +58,7 @@
 /// All violations, ordered by time.
 pub fn check_rules(observations: &Observations) -> Vec<Breach> {
     let mut breaches = check_answers(observations);
+    breaches.extend(check_deliveries(observations));
     breaches.extend(check_effects(observations));
     breaches.extend(check_drains(observations));
     breaches.extend(check_cold_nodes(observations));
@@ -109,6 +110,18 @@
         .collect()
 }
 
+/// Rule 1: nobody is served a response that was made for another request. No fault excuses that.
+fn check_deliveries(observations: &Observations) -> Vec<Breach> {
+    let misdelivered = observations.client_requests.iter().filter(|request| request.misdelivered);
+    misdelivered
+        .map(|request| Breach {
+            rule: 1,
+            at_ms: request.at_ms,
+            what: format!("{} at {} was served the response to another request", request.id, request.proxy),
+        })
+        .collect()
+}
+
 /// Rule 2: no request takes effect twice, and none that may have run is refused as safe to retry.
 fn check_effects(observations: &Observations) -> Vec<Breach> {
     let mut executions: HashMap<&str, Vec<&NodeRequest>> = HashMap::new();
--- a/crates/flintwell-rig/src/check/tests.rs
+++ b/crates/flintwell-rig/src/check/tests.rs
@@ -10,6 +10,7 @@
         limit_ms: 1_000.0,
         took_ms,
         status,
+        misdelivered: false,
         failure: None,
         retry_after_ms: 0.0,
     }
@@ -31,7 +32,10 @@
 
 #[test]
 fn checker_reports_each_violation_under_its_rule_and_no_others() {
+    let mut misdelivered = client_request("crossed", "read", Some(200), 10.0);
+    misdelivered.misdelivered = true;
     let client_requests = [
+        misdelivered,
         client_request("well", "read", Some(200), 900.0),
         client_request("lost", "read", None, 1_500.0),
         client_request("late", "read", Some(503), 1_400.0),
@@ -84,7 +88,8 @@
         sockets_exhausted: false,
     });
     let found = |rule: u8, what: &str| breaches.iter().any(|one| one.rule == rule && one.what.contains(what));
+    assert!(found(1, "crossed at n0 was served the response to another request"));
     assert!(found(1, "lost") && found(1, "late") && found(2, "twice ran") && found(2, "told refused"));
     assert!(found(3, "drained to a 1000 ms") && found(4, "b: 2"), "{breaches:#?}");
-    assert_eq!(breaches.iter().filter(|one| one.rule != 4).count(), 5, "{breaches:#?}");
+    assert_eq!(breaches.iter().filter(|one| one.rule != 4).count(), 6, "{breaches:#?}");
 }
--- a/crates/flintwell-rig/src/fleet.rs
+++ b/crates/flintwell-rig/src/fleet.rs
@@ -407,6 +407,11 @@
         chosen.filter_map(|path| self.paths.get(&path)).map(|relay| relay.set_mode(mode)).count()
     }
 
+    /// The number of responses that were sent a second time, on all links.
+    pub fn repeated_responses(&self) -> u64 {
+        self.paths.values().map(Relay::repeated).sum()
+    }
+
     /// Sets the mode of datagrams between matching proxies; returns the number of pairs.
     pub fn set_datagram_mode(&self, from: &str, to: &str, mode: DatagramMode) -> usize {
         let (from, to) = (self.matching_proxies(from), self.matching_proxies(to));
--- a/crates/flintwell-rig/src/main.rs
+++ b/crates/flintwell-rig/src/main.rs
@@ -241,8 +241,9 @@
                 let run_dir = folder.path().join(format!("soak-{seed}"));
                 let day = soak::run_day(seed, *proxies, &arguments.program, &run_dir).await?;
                 println!(
-                    "{seed:4}: {} requests, {} served, {} lapses, lists {:.1} s old, ready in {:.1} s",
-                    day.requests, day.served, day.lease_lapses, day.oldest_list_s, day.ready_s
+                    "{seed:4}: {} requests, {} served, {} second responses, {} lapses, lists {:.1} s old, \
+                     ready in {:.1} s",
+                    day.requests, day.served, day.repeated, day.lease_lapses, day.oldest_list_s, day.ready_s
                 );
                 day.violations.iter().take(5).for_each(|breach| println!("    {breach}"));
                 if !day.violations.is_empty() {
--- a/crates/flintwell-rig/src/soak.rs
+++ b/crates/flintwell-rig/src/soak.rs
@@ -1,7 +1,7 @@
 //! Randomized tests of overlapping faults around an overloaded discovery, determined by a seed. All watches fall silent or are
 //! reset; nodes leave and return cold; one proxy or most of them are killed, or shut down and killed at the earliest permitted
 //! time, and restarted after 0.1 to 20 s with or without their stored files; idle clients use up descriptors; the origin is
-//! overloaded. The configured fleet size may exceed the real one. A run is judged by the checker, by the drain rule for each
+//! overloaded; nodes send some responses a second time, late. The configured fleet size may exceed the real one. A run is judged by the checker, by the drain rule for each
 //! proxy regardless of its discovery calls, and by the proxies' own violation counts.
 
 use crate::fleet::{Fleet, FleetSpec};
@@ -37,6 +37,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const STATUS_TIMEOUT: Duration = Duration::from_secs(5); // for a proxy's violation counts
 const CROWDED_SOCKET_LIMIT: usize = 256; // descriptor limit of each proxy when idle clients use them up
+const REPEAT_SHARE: f64 = 0.6; // of the days, on which nodes send some responses a second time
+const REPEAT_DELAYS_MS: [f64; 6] = [1.0, 5.0, 20.0, 50.0, 100.0, 300.0]; // one is drawn
 const DEADLINES_S: [f64; 3] = [0.3, 1.0, 3.0]; // one is drawn as the deadline of a day's requests
 
 /// Result of a day.
@@ -45,6 +47,8 @@
     pub events: Vec<Event>,
     pub requests: usize,
     pub served: usize,
+    /// Responses that nodes sent a second time.
+    pub repeated: u64,
     /// How often a proxy's lease on the node list lapsed.
     pub lease_lapses: u64,
     /// Age of the oldest node list of a proxy at the end, s.
@@ -72,6 +76,8 @@
 struct Scenario {
     spec: FleetSpec,
     crowded: bool,
+    /// How late nodes send a response a second time, ms; none if they don't.
+    repeat_ms: Option<f64>,
 }
 
 impl Scenario {
@@ -87,7 +93,9 @@
         if crowded {
             spec.sockets = CROWDED_SOCKET_LIMIT;
         }
-        Scenario { spec, crowded }
+        let repeats = rng.random_bool(REPEAT_SHARE);
+        let repeat_ms = REPEAT_DELAYS_MS[rng.random_range(0..REPEAT_DELAYS_MS.len())];
+        Scenario { spec, crowded, repeat_ms: repeats.then_some(repeat_ms) }
     }
 }
 
@@ -219,6 +227,12 @@
         let who = format!("n{}", draw.rng.random_range(0..proxies));
         draw.add(FIRST_FAULT_S, Action::OpenIdleConnections { who, connections: 2 * CROWDED_SOCKET_LIMIT });
     }
+    if let Some(ms) = scenario.repeat_ms {
+        for to in ["caches", "origin"] {
+            let mode = LinkMode::Repeat(ms);
+            draw.add(0.0, Action::Path { from: "*".into(), to: to.into(), mode });
+        }
+    }
     draw.events.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     draw.events
 }
@@ -285,6 +299,7 @@
         events,
         requests: requests.len(),
         served,
+        repeated: fleet.repeated_responses(),
         lease_lapses,
         oldest_list_s,
         ready_s,
--- a/crates/flintwell-standins/src/clients.rs
+++ b/crates/flintwell-standins/src/clients.rs
@@ -1,6 +1,7 @@
 //! Open-loop clients of one proxy: requests arrive as a seeded Poisson process, so that a slow proxy receives no fewer.
 //! Refused requests are retried after the advised delay if the load says so.
 
+use crate::nodes::response_suffix;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -76,6 +77,9 @@
     pub took_ms: f64,
     /// None if no complete response arrived in time.
     pub status: Option<u16>,
+    /// Served with a response that was made for another request.
+    #[serde(default)]
+    pub misdelivered: bool,
     /// Set if there is no status.
     #[serde(rename = "missing")]
     pub failure: Option<ResponseFailure>,
@@ -98,6 +102,14 @@
     }
 }
 
+/// A complete response as its client received it.
+struct ReceivedResponse {
+    status: u16,
+    retry_after_ms: f64,
+    /// It was made for another request.
+    is_misdelivered: bool,
+}
+
 type RequestSender = SendRequest<Full<Bytes>>;
 
 /// Load generator for one proxy.
@@ -181,14 +193,17 @@
             limit_ms: class.limit_s * 1e3,
             took_ms: 0.0,
             status: None,
+            misdelivered: false,
             failure: None,
             retry_after_ms: 0.0,
         };
         let answered = timeout(limit + RESPONSE_SLACK, self.exchange(id, key, class)).await;
         entry.took_ms = began.elapsed().as_secs_f64() * 1e3;
         match answered {
-            Ok(Ok((status, retry_after_ms))) => {
-                (entry.status, entry.retry_after_ms) = (Some(status), retry_after_ms);
+            Ok(Ok(response)) => {
+                entry.status = Some(response.status);
+                entry.retry_after_ms = response.retry_after_ms;
+                entry.misdelivered = response.is_misdelivered;
             }
             Ok(Err(failure)) => entry.failure = Some(failure),
             Err(_) => entry.failure = Some(ResponseFailure::Unanswered),
@@ -197,7 +212,12 @@
     }
 
     /// Exchanges a request on an idle connection, and again on a new one if the proxy had closed the idle connection.
-    async fn exchange(&self, id: &str, key: &str, class: &ClassLoad) -> Result<(u16, f64), ResponseFailure> {
+    async fn exchange(
+        &self,
+        id: &str,
+        key: &str,
+        class: &ClassLoad,
+    ) -> Result<ReceivedResponse, ResponseFailure> {
         let mut idle = loop {
             let sender = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
             match sender {
@@ -224,14 +244,20 @@
             match sender.send_request(request).await {
                 Ok(response) => {
                     let (status, headers) = (response.status().as_u16(), response.headers().clone());
-                    response.into_body().collect().await.map_err(|_| ResponseFailure::Unanswered)?;
+                    let body =
+                        response.into_body().collect().await.map_err(|_| ResponseFailure::Unanswered)?;
+                    let names_request = body.to_bytes().ends_with(response_suffix(id).as_bytes());
                     let header = headers.get("retry-after").and_then(|value| value.to_str().ok());
                     let wait = header.and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0) * 1e3;
                     let closes = headers.get("connection").is_some_and(|value| value == "close");
                     if !closes && sender.ready().await.is_ok() {
                         self.idle.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
                     }
-                    return Ok((status, wait));
+                    return Ok(ReceivedResponse {
+                        status,
+                        retry_after_ms: wait,
+                        is_misdelivered: status == 200 && !names_request,
+                    });
                 }
                 Err(_) if !is_new => {}
                 // An orderly close; a reset shows that the proxy left a part of the request unread.
--- a/crates/flintwell-standins/src/nodes.rs
+++ b/crates/flintwell-standins/src/nodes.rs
@@ -175,8 +175,21 @@
         }
     };
     record(if value.is_some() { Disposition::Served } else { Disposition::Missed });
-    let (code, body) = value.map_or((StatusCode::NOT_FOUND, Bytes::new()), |value| (StatusCode::OK, value));
-    Ok(status(code, body))
+    Ok(match value {
+        Some(value) => status(StatusCode::OK, name_request(&value, &id)),
+        None => status(StatusCode::NOT_FOUND, Bytes::new()),
+    })
+}
+
+/// The value with the id of the request that it is sent for, so that its client can tell that it received its own
+/// response.
+fn name_request(value: &[u8], id: &str) -> Bytes {
+    [value, response_suffix(id).as_bytes()].concat().into()
+}
+
+/// The end of the body of a response to the request with this id.
+pub fn response_suffix(id: &str) -> String {
+    format!("\nfor {id}")
 }
 
 /// Reads from a cache and records a miss.
