Wait at most 50 ms for a connection's rest to end

Read after: once late responses had lengthened the rest, a wait could be as long as a mean response, at a slow origin some hundred ms. The policy's test has the case; it failed before (340 ms idle, 400 ms of rest, 600 ms a response: waited 60 ms).

--- a/crates/flintwell/src/nodes/rest_policy.rs
+++ b/crates/flintwell/src/nodes/rest_policy.rs
@@ -13,6 +13,8 @@
 /// The rest, in terms of the greatest lateness seen.
 const REST_PER_LATENESS: u32 = 4;
 const EVIDENCE_LIFETIME: Duration = Duration::from_secs(600);
+/// Longest wait for a rest to end; the time limit that a node is told was set before it.
+const MAX_REST_WAIT: Duration = Duration::from_millis(50);
 /// Weight of the most recent response in the mean response time.
 const RESPONSE_TIME_WEIGHT: f64 = 0.1;
 /// Second responses are expected within this time. A first response that comes sooner after the previous one may be such a
@@ -117,7 +119,7 @@
     /// spares the peer the work of another connection.
     pub fn rest_of(&self, idle: Duration, now: Instant) -> Rest {
         match self.required_rest(now).saturating_sub(idle) {
-            rest if rest <= self.response_time => Rest::Wait(rest),
+            rest if rest <= self.response_time.min(MAX_REST_WAIT) => Rest::Wait(rest),
             _ => Rest::TooLong,
         }
     }
--- a/crates/flintwell/src/nodes/rest_policy/tests.rs
+++ b/crates/flintwell/src/nodes/rest_policy/tests.rs
@@ -28,7 +28,9 @@
     policy.record_late_response(ms(100), now);
     assert_eq!(policy.rest_of(MIN_REST / 2, now), Rest::TooLong);
     assert_eq!(policy.rest_of(ms(360), now), Rest::Wait(ms(40)));
-    (0..50).for_each(|_| policy.record_response_time(ms(2)));
+    (0..50).for_each(|_| policy.record_response_time(ms(600)));
+    assert_eq!(policy.rest_of(ms(340), now), Rest::TooLong, "a wait uses up the time limit told to the node");
+    (0..100).for_each(|_| policy.record_response_time(ms(2)));
     assert_eq!(policy.rest_of(ms(360), now), Rest::TooLong);
 }
 
