Recognize a late copy of a response for the same path, where bodies differ by request

A copy counted only if it had been made for another path; popular keys come twice on a connection within the time.

--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -209,19 +209,19 @@
         self.idle_since = Instant::now();
     }
 
-    /// Whether the response is a copy of an earlier one on this connection that was made for another path. If it is
-    /// not, it is remembered.
+    /// Whether the response is a copy of an earlier one on this connection, made for another request. If it is not, it
+    /// is remembered.
     pub fn is_copy(&mut self, path: &Uri, body: &Bytes) -> bool {
         if !is_distinct(body) {
             return false;
         }
         let response = ResponseDigest { body: hash_of(body), path: hash_of(path) };
-        let (monitor, now) = (&self.exchanges.peer().monitor, Instant::now());
-        if monitor.bodies_are_distinct() && self.history.has_copy_of(&response, now) {
+        let monitor = &self.exchanges.peer().monitor;
+        if monitor.is_copy(response, &self.history) {
             return true;
         }
         monitor.record_body(response, self.number);
-        self.history.push(response, now);
+        self.history.push(response, Instant::now());
         false
     }
 
--- a/crates/flintwell/src/nodes/rest_policy.rs
+++ b/crates/flintwell/src/nodes/rest_policy.rs
@@ -34,10 +34,19 @@
     pub path: u64,
 }
 
+/// How a response resembles an earlier one with the same body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resemblance {
+    SamePath,
+    OtherPath,
+}
+
 impl ResponseDigest {
-    /// Whether a response to `path` repeats this one, made for another path.
-    fn is_repeated_by(&self, other: &ResponseDigest) -> bool {
-        self.body == other.body && self.path != other.path
+    fn resemblance(&self, earlier: &ResponseDigest) -> Option<Resemblance> {
+        (self.body == earlier.body).then_some(match self.path == earlier.path {
+            true => Resemblance::SamePath,
+            false => Resemblance::OtherPath,
+        })
     }
 }
 
@@ -51,12 +60,14 @@
 pub struct ResponseHistory(VecDeque<(ResponseDigest, Instant)>);
 
 impl ResponseHistory {
-    /// Whether the response repeats a recent one that was made for another path.
-    pub fn has_copy_of(&self, response: &ResponseDigest, now: Instant) -> bool {
-        let is_copy = |(earlier, ended_at): &(ResponseDigest, Instant)| {
-            now.duration_since(*ended_at) < COPY_WINDOW && earlier.is_repeated_by(response)
-        };
-        self.0.iter().any(is_copy)
+    /// How the response resembles recent ones with the same body.
+    pub fn resemblances(
+        &self,
+        response: ResponseDigest,
+        now: Instant,
+    ) -> impl Iterator<Item = Resemblance> + '_ {
+        let recent = self.0.iter().filter(move |(_, ended_at)| now.duration_since(*ended_at) < COPY_WINDOW);
+        recent.filter_map(move |(earlier, _)| response.resemblance(earlier))
     }
 
     /// Adds the most recent response.
@@ -88,7 +99,11 @@
     /// Recent bodies, with the connections that they came on.
     bodies: VecDeque<(ResponseDigest, u64)>,
     /// When different paths were last seen to have the same body, on different connections.
-    coincided_at: Option<Instant>,
+    paths_coincided_at: Option<Instant>,
+    /// When two responses for one path were last seen to have the same body, on different connections.
+    path_repeated_at: Option<Instant>,
+    /// When two responses for one path were last seen to have different bodies.
+    path_differed_at: Option<Instant>,
 }
 
 impl RestPolicy {
@@ -126,11 +141,13 @@
 
     /// Remembers the body of a response on a connection.
     pub fn record_body(&mut self, response: ResponseDigest, connection: u64, now: Instant) {
-        let coincides = |(earlier, other): &(ResponseDigest, u64)| {
-            *other != connection && earlier.is_repeated_by(&response)
-        };
-        if self.bodies.iter().any(coincides) {
-            self.coincided_at = Some(now);
+        for (earlier, other) in &self.bodies {
+            match response.resemblance(earlier) {
+                None if response.path == earlier.path => self.path_differed_at = Some(now),
+                Some(Resemblance::SamePath) if *other != connection => self.path_repeated_at = Some(now),
+                Some(Resemblance::OtherPath) if *other != connection => self.paths_coincided_at = Some(now),
+                _ => {}
+            }
         }
         if self.bodies.len() == REMEMBERED_BODIES {
             self.bodies.pop_front();
@@ -138,9 +155,14 @@
         self.bodies.push_back((response, connection));
     }
 
-    /// Whether bodies differ from path to path, so that a copy shows that a response was made for another request.
-    pub fn bodies_are_distinct(&self, now: Instant) -> bool {
-        self.coincided_at.is_none_or(|at| now.duration_since(at) >= EVIDENCE_LIFETIME)
+    /// Whether a response that resembles an earlier one on its connection was made for another request: bodies differ
+    /// from path to path as a rule, or even from request to request.
+    pub fn shows_copy(&self, resemblance: Resemblance, now: Instant) -> bool {
+        let is_recent = |at: Option<Instant>| at.is_some_and(|at| now.duration_since(at) < EVIDENCE_LIFETIME);
+        match resemblance {
+            Resemblance::OtherPath => !is_recent(self.paths_coincided_at),
+            Resemblance::SamePath => is_recent(self.path_differed_at) && !is_recent(self.path_repeated_at),
+        }
     }
 }
 
--- a/crates/flintwell/src/nodes/rest_policy/tests.rs
+++ b/crates/flintwell/src/nodes/rest_policy/tests.rs
@@ -35,14 +35,15 @@
 }
 
 #[test]
-fn a_response_is_a_copy_if_its_body_was_sent_for_another_path_on_the_connection() {
+fn a_response_resembles_recent_ones_on_its_connection_with_the_same_body() {
     let digest = |body, path| ResponseDigest { body, path };
     let (mut history, start) = (ResponseHistory::default(), Instant::now());
     (0..9).for_each(|n| history.push(digest(n, n), start));
-    assert!(history.has_copy_of(&digest(8, 20), start) && history.has_copy_of(&digest(0, 20), start));
-    assert!(!history.has_copy_of(&digest(8, 8), start), "the same path may well have the same body");
-    assert!(!history.has_copy_of(&digest(20, 21), start));
-    assert!(!history.has_copy_of(&digest(8, 20), start + COPY_WINDOW));
+    let resembles = |history: &ResponseHistory, response, at| history.resemblances(response, at).next();
+    assert_eq!(resembles(&history, digest(8, 20), start), Some(Resemblance::OtherPath));
+    assert_eq!(resembles(&history, digest(0, 0), start), Some(Resemblance::SamePath));
+    assert_eq!(resembles(&history, digest(20, 8), start), None);
+    assert_eq!(resembles(&history, digest(8, 20), start + COPY_WINDOW), None);
     (0..200).for_each(|n| history.push(digest(n, n), start));
     assert_eq!(history.0.len(), REMEMBERED_RESPONSES);
     history.push(digest(0, 0), start + COPY_WINDOW);
@@ -56,9 +57,23 @@
     policy.record_body(digest(1, 1), 1, now);
     policy.record_body(digest(1, 2), 1, now);
     policy.record_body(digest(1, 1), 2, now);
-    assert!(!policy.bodies_are_distinct(now), "paths 1 and 2 have one body on connections 1 and 2");
-    assert!(policy.bodies_are_distinct(now + EVIDENCE_LIFETIME));
+    let shows_copy = |policy: &RestPolicy, at| policy.shows_copy(Resemblance::OtherPath, at);
+    assert!(!shows_copy(&policy, now), "paths 1 and 2 have one body on connections 1 and 2");
+    assert!(shows_copy(&policy, now + EVIDENCE_LIFETIME));
     let mut distinct = RestPolicy::default();
     (0..200).for_each(|n| distinct.record_body(digest(n, n), n % 5, now));
-    assert!(distinct.bodies_are_distinct(now) && distinct.bodies.len() == REMEMBERED_BODIES);
+    assert!(shows_copy(&distinct, now) && distinct.bodies.len() == REMEMBERED_BODIES);
+}
+
+#[test]
+fn equal_bodies_for_one_path_are_copies_only_where_bodies_differ_from_request_to_request() {
+    let (mut policy, now) = (RestPolicy::default(), Instant::now());
+    let digest = |body, path| ResponseDigest { body, path };
+    let shows_copy = |policy: &RestPolicy| policy.shows_copy(Resemblance::SamePath, now);
+    policy.record_body(digest(1, 1), 1, now);
+    assert!(!shows_copy(&policy), "nothing is known of the bodies");
+    policy.record_body(digest(2, 1), 1, now);
+    assert!(shows_copy(&policy));
+    policy.record_body(digest(2, 1), 2, now);
+    assert!(!shows_copy(&policy), "a stored value");
 }
--- a/crates/flintwell/src/nodes/reuse.rs
+++ b/crates/flintwell/src/nodes/reuse.rs
@@ -3,7 +3,7 @@
 //! for the rest policy.
 
 use crate::log_line;
-use crate::nodes::rest_policy::{ResponseDigest, Rest, RestPolicy};
+use crate::nodes::rest_policy::{ResponseDigest, ResponseHistory, Rest, RestPolicy};
 use crate::process::counter::{Counter, increment};
 use serde::Serialize;
 use std::cell::RefCell;
@@ -162,9 +162,10 @@
         self.policy.borrow().required_rest(Instant::now())
     }
 
-    /// Whether a copy shows that a response was made for another request.
-    pub fn bodies_are_distinct(&self) -> bool {
-        self.policy.borrow().bodies_are_distinct(Instant::now())
+    /// Whether the response was made for another request, by those before it on its connection.
+    pub fn is_copy(&self, response: ResponseDigest, history: &ResponseHistory) -> bool {
+        let (now, policy) = (Instant::now(), self.policy.borrow());
+        history.resemblances(response, now).any(|resemblance| policy.shows_copy(resemblance, now))
     }
 
     /// Remembers the body of a response that was accepted.
