--- a/crates/flintwell-rig/src/plan.rs
+++ b/crates/flintwell-rig/src/plan.rs
@@ -163,6 +163,11 @@
         none if none.is_empty() => Err(no_match(who)),
         some => Ok(some),
     };
+    let running_proxies = |fleet: &mut Fleet, who: &str| -> Result<Vec<usize>, String> {
+        let mut running = proxies(fleet, who)?;
+        running.retain(|&index| fleet.proxies[index].process.is_running());
+        Ok(running)
+    };
     let nodes = |fleet: &Fleet, who: &str| match fleet.matching_nodes(who) {
         none if none.is_empty() => Err(no_match(who)),
         some => Ok(some),
@@ -232,13 +237,14 @@
             }
         }
         Action::Pause { who } => {
-            for index in proxies(fleet, who)? {
+            for index in running_proxies(fleet, who)? {
                 fleet.proxies[index].process.pause();
                 fleet.excuse(index, now - 1_500.0, f64::MAX);
             }
         }
         Action::Resume { who } => {
-            for index in proxies(fleet, who)? {
+            // Danger: the excuse of a process that was killed would end here.
+            for index in running_proxies(fleet, who)? {
                 fleet.proxies[index].process.resume();
                 let until = fleet.backends.now_ms() + RESTART_EXCUSE_MS;
                 fleet.end_excuse(index, until);
