--- a/crates/flintwell/tests/process/overload.rs
+++ b/crates/flintwell/tests/process/overload.rs
@@ -306,19 +306,30 @@
 /// many of them.
 #[test]
 fn overlapping_faults_with_a_busy_discovery_violate_no_rule() {
+    for seed in 0..2 {
+        check_soak_day(seed);
+    }
+}
+
+// A process killed and restarted within a second of a list change sent requests to the node that had left.
+#[test]
+fn restart_right_after_a_list_change_sends_nothing_to_a_node_that_left() {
+    check_soak_day(347);
+}
+
+/// Runs a day of the soak with 24 proxies.
+fn check_soak_day(seed: u64) {
     let _guard = FLEET_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let runtime = runtime.expect("build runtime");
-    for seed in 0..2 {
-        let directory = tempfile::tempdir().expect("create directory");
-        let day = runtime.block_on(soak::run_day(seed, 24, Path::new(PROGRAM), directory.path()));
-        let day = day.expect("run scenario");
-        assert!(day.violations.is_empty(), "seed {seed}: {:#?}", day.violations);
-        assert!(
-            day.served * 10 > day.requests * 7,
-            "seed {seed}: {} of {} requests served",
-            day.served,
-            day.requests
-        );
-    }
+    let directory = tempfile::tempdir().expect("create directory");
+    let day = runtime.block_on(soak::run_day(seed, 24, Path::new(PROGRAM), directory.path()));
+    let day = day.expect("run scenario");
+    assert!(day.violations.is_empty(), "seed {seed}: {:#?}", day.violations);
+    assert!(
+        day.served * 10 > day.requests * 7,
+        "seed {seed}: {} of {} requests served",
+        day.served,
+        day.requests
+    );
 }
