Bytes after a long idle time are no evidence for a longer rest

Read after: a peer that ends an idle connection with words, such as a 408, sends them seconds after its last response; four times that, 2 s at most, would be every connection's rest for ten minutes, and hardly any would be used again. The policy's test has the case; it failed before (60 s: rest 2 s instead of 400 ms).

--- a/crates/flintwell/src/nodes/rest_policy.rs
+++ b/crates/flintwell/src/nodes/rest_policy.rs
@@ -107,9 +107,10 @@
 }
 
 impl RestPolicy {
-    /// A response came this late, or bytes of one.
+    /// A response came this late, or bytes of one. Danger: a peer that announces the end of an idle connection in words
+    /// would end all reuse; so what no rest could have cleared is no evidence.
     pub fn record_late_response(&mut self, lateness: Duration, now: Instant) {
-        if lateness >= self.greatest_lateness(now) {
+        if lateness < MAX_REST && lateness >= self.greatest_lateness(now) {
             self.greatest = Some((lateness, now));
         }
     }
--- a/crates/flintwell/src/nodes/rest_policy/tests.rs
+++ b/crates/flintwell/src/nodes/rest_policy/tests.rs
@@ -15,6 +15,8 @@
     assert_eq!(policy.required_rest(start + EVIDENCE_LIFETIME / 2), ms(400));
     assert_eq!(policy.required_rest(start + EVIDENCE_LIFETIME), MIN_REST);
     policy.record_late_response(Duration::from_secs(60), start);
+    assert_eq!(policy.required_rest(start), ms(400), "not a second response");
+    policy.record_late_response(ms(1_500), start);
     assert_eq!(policy.required_rest(start), MAX_REST);
 }
 
