Review case 3: a second upgrade cuts off all answers that were handed over

An answer that was taken over is not handed over again. Change: review/3, its test with two upgrades.

--- a/review/standins/src/bin/upgrade.rs
+++ b/review/standins/src/bin/upgrade.rs
@@ -1,4 +1,5 @@
-//! Case: a new version under load, while long answers of every framing are on their way.
+//! Case: a new version under load, and a second one 9 s later, while long answers are on their way.
+//! UPGRADES=1 leaves the second one out; WITHOUT_LENGTH=1 adds answers that end with their node's connection.
 
 use review_standins::*;
 use std::io::{self, BufReader, Read, Write};
@@ -10,7 +11,10 @@
 const DEADLINE: f64 = 1.5; // the longest outer limit of a use case
 const KILL_AFTER: f64 = DEADLINE + 0.7; // pages: SIGKILL after the longest deadline and 0.7 s
 const ANSWER_BYTES: usize = 1 << 20; // pages: up to 32 MB
-const ANSWER_TIME: f64 = 8.0; // pages: peers take seconds to write
+/// Seconds in which an answer is written, with one upgrade and with two. Pages: peers take seconds to write.
+const ANSWER_TIME: [f64; 2] = [8.0, 14.0];
+/// Seconds from one upgrade's begin to the next's; the users' bench has 9 to 10.
+const UPGRADE_INTERVAL: f64 = 9.0;
 const PIECES: usize = 200;
 const EACH: usize = 4; // answers of each framing
 
@@ -23,7 +27,7 @@
 }
 
 /// Answers with a long value, in pieces, framed as the key says.
-fn serve_node(stream: TcpStream, record: &Record, name: &str) {
+fn serve_node(stream: TcpStream, record: &Record, name: &str, answer_time: f64) {
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::new(copy);
     while let Ok(Some(head)) = Head::read(&mut reader) {
@@ -45,7 +49,7 @@
                 } else {
                     to.write_all(piece)?;
                 }
-                thread::sleep(Duration::from_secs_f64(ANSWER_TIME / PIECES as f64));
+                thread::sleep(Duration::from_secs_f64(answer_time / PIECES as f64));
             }
             if framing(&key) == "chunked" {
                 to.write_all(b"0\r\n\r\n")?;
@@ -65,10 +69,15 @@
 fn main() {
     run_case(|case| {
         let record = case.record.clone();
+        let is_set = |name: &str| std::env::var(name).is_ok_and(|value| value == "1");
+        let upgrades = if is_set("UPGRADES") { 1 } else { 2 };
+        let forms: &[&str] =
+            if is_set("WITHOUT_LENGTH") { &["length", "chunked", "none"] } else { &["length", "chunked"] };
+        let answer_time = ANSWER_TIME[upgrades - 1];
         let node_record = record.clone();
-        let cache = start_server(move |stream, _| serve_node(stream, &node_record, "s-1"))?;
+        let cache = start_server(move |stream, _| serve_node(stream, &node_record, "s-1", answer_time))?;
         let origin_record = record.clone();
-        let origin = start_server(move |stream, _| serve_node(stream, &origin_record, "s-0"))?;
+        let origin = start_server(move |stream, _| serve_node(stream, &origin_record, "s-0", answer_time))?;
         let servers = [entry("s-1", cache, "single-core"), entry("s-0", origin, "origin")].join(",");
         let discovery = start_discovery(servers.clone())?;
         let held = TcpListener::bind("127.0.0.1:0")?;
@@ -84,7 +93,7 @@
         let broken: Arc<Mutex<Vec<String>>> = Arc::default();
         let mut clients = Vec::new();
         for n in 0..EACH {
-            for form in ["length", "chunked", "none"] {
+            for &form in forms {
                 let (record, broken) = (record.clone(), broken.clone());
                 clients.push(thread::spawn(move || {
                     let key = format!("{form}-{n}");
@@ -103,10 +112,13 @@
             }
         }
         thread::sleep(Duration::from_millis(700));
-        let mut new = None;
-        if case.trouble {
-            new = Some(start("new.log")?);
-            record.line("the new process says that it is ready; SIGTERM to the old one");
+        for number in 1..=upgrades {
+            if !case.trouble {
+                break;
+            }
+            let begun = Instant::now();
+            let new = start(&format!("new-{number}.log"))?;
+            record.line(format!("upgrade {number}: process {} says that it is ready; SIGTERM to the old one", new.child.id()));
             let told_at = Instant::now();
             old.signal("-TERM");
             while told_at.elapsed().as_secs_f64() < KILL_AFTER && old.child.try_wait()?.is_none() {
@@ -114,17 +126,23 @@
             }
             if old.child.try_wait()?.is_none() {
                 record.line(format!("SIGKILL to the old process, {KILL_AFTER} s after SIGTERM"));
-                let _ = old.child.kill();
+                old.child.kill()?;
+                old.child.wait()?;
             } else {
                 record.line(format!("the old process ended {:.2} s after SIGTERM", told_at.elapsed().as_secs_f64()));
             }
+            // The processes share their folder, which goes with the last one.
+            old.leave_folder();
+            old = new;
+            if number < upgrades {
+                thread::sleep(Duration::from_secs_f64(UPGRADE_INTERVAL).saturating_sub(begun.elapsed()));
+            }
         }
         for client in clients {
             let _ = client.join();
         }
-        drop(new);
         let broken = broken.lock().unwrap();
-        record.line(format!("{} of {} answers were cut off: {}", broken.len(), 3 * EACH, broken.join(" ")));
+        record.line(format!("{} of {} answers were cut off: {}", broken.len(), forms.len() * EACH, broken.join(" ")));
         Ok(!broken.is_empty())
     })
 }
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -337,6 +337,10 @@
         };
         ask().is_ok_and(|status| status == 200)
     }
+    /// Leaves its folder to another process.
+    pub fn leave_folder(&mut self) {
+        self.folder = PathBuf::new();
+    }
     /// Sends a signal to the process that `run` started.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("/bin/kill").arg(name).arg(self.child.id().to_string()).status();
@@ -347,7 +351,9 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if self.folder != Path::new("") {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
