--- a/review/standins/src/bin/restart.rs
+++ b/review/standins/src/bin/restart.rs
@@ -80,7 +80,7 @@
         let mut killed_at = None;
         let told_at = Instant::now();
         if case.trouble {
-            proxy.signal("-TERM");
+            proxy.terminate();
             record.line("SIGTERM");
             sleep_until(told_at + Duration::from_secs_f64(KILL_AFTER));
             killed_at = Some(Instant::now());
--- a/review/standins/src/bin/upgrade.rs
+++ b/review/standins/src/bin/upgrade.rs
@@ -120,7 +120,7 @@
             let new = start(&format!("new-{number}.log"))?;
             record.line(format!("upgrade {number}: process {} says that it is ready; SIGTERM to the old one", new.child.id()));
             let told_at = Instant::now();
-            old.signal("-TERM");
+            old.terminate();
             while told_at.elapsed().as_secs_f64() < KILL_AFTER && old.child.try_wait()?.is_none() {
                 thread::sleep(Duration::from_millis(10));
             }
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -115,6 +115,7 @@
     fn dup2(from: i32, to: i32) -> i32;
     fn fcntl(descriptor: i32, command: i32, argument: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -341,9 +342,10 @@
     pub fn leave_folder(&mut self) {
         self.folder = PathBuf::new();
     }
-    /// Sends a signal to the process that `run` started.
-    pub fn signal(&self, name: &str) {
-        let _ = Command::new("/bin/kill").arg(name).arg(self.child.id().to_string()).status();
+    /// Sends SIGTERM to the process that `run` started.
+    pub fn terminate(&self) {
+        // SAFETY: a plain system call, on a child that was not waited for yet.
+        unsafe { kill(self.child.id() as i32, 15) };
     }
 }
 
