The time of a client whose long body is passed on runs while its node pauses

Test failed before: long_writes::client_of_a_streamed_write_is_answered_in_time_while_the_node_pauses (answer 4.02 s after the client's last byte, 1.5 s allowed), ..._where_no_memory_is_left_to_see_its_last_byte, and streamed_write_of_a_class_with_late_worth_ends_with_its_client_s_time (200 after 4.01 s of a limit of 1 s). Cause: the limit of a body that is passed on began when its last byte was read, and nothing is read from the client while the node takes nothing; the other bound was the 700 s that a client may take to send, which were also a part of the policy's deadline. Evidence: in the middle of the pause the kernel held 3.56 MB at the client, 29 kB unread at the proxy and 1.45 MB on the way to the origin; the answer came the time of the work after the origin read on. Why this works: the attempt receives the body ahead of the node within the buffer memory, so the last byte is seen; with no memory left the time runs from the latest moment at which the client had certainly not finished, which depends on the client's socket alone. A client that can't have finished is waited for as before, a node that takes nothing for 10 s is given up.

--- a/crates/flintwell/src/clients/body.rs
+++ b/crates/flintwell/src/clients/body.rs
@@ -1,7 +1,8 @@
 //! Request bodies: buffered whole within a memory budget, or else streamed to a single node.
 
+use crate::clients::client_socket::ClientSocket;
 use crate::clients::malformed::Malformed;
-use crate::process::clock::IdleTimer;
+use crate::clients::request_stream::RequestStream;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -12,7 +13,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
 /// Maximum length of a request or response body.
@@ -20,10 +20,16 @@
 // Added to the time that a body's bytes take; short, so that a bad body is rejected soon.
 const BASE_RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_300);
 const MIN_RATE_BYTES_PER_S: u64 = 48_000; // slow clients send 64,000
-const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500); // between two frames of a streamed body
+/// How long a client may take to send the longest body.
+pub const MAX_RECEIVE_TIME: Duration = receive_timeout(MAX_BODY_BYTES);
 const BLOCK_BYTES: usize = 65_536; // buffered bodies are copied into such blocks, as frames come in any size
 const FIRST_BLOCK_BYTES: usize = 4_096; // first block of a body of unknown length
 
+/// How long a client may take to send this many bytes of a body.
+const fn receive_timeout(bytes: u64) -> Duration {
+    BASE_RECEIVE_TIMEOUT.saturating_add(Duration::from_micros(bytes * 1_000_000 / MIN_RATE_BYTES_PER_S))
+}
+
 /// Memory budget, in bytes, shared by buffered bodies.
 pub struct BufferBudget(Cell<usize>);
 
@@ -97,6 +103,11 @@
         true
     }
 
+    /// Whether it holds no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty() && self.open_block.is_empty()
+    }
+
     fn seal_block(&mut self) {
         let (charged, open_block) = (self.open_block.capacity(), std::mem::take(&mut self.open_block));
         if !open_block.is_empty() {
@@ -123,36 +134,20 @@
     }
 }
 
-/// A body that is sent to a node while it is still being received.
-pub struct StreamingBody {
-    buffer: BodyBuffer,
-    /// Received after what is in `buffer`, and sent next after it.
-    pending: Bytes,
-    incoming: Incoming,
-    content_length: Option<u64>,
-    idle_timer: IdleTimer,
-    status: Rc<StreamStatus>,
-}
-
-/// How a streamed body has ended.
-#[derive(Default)]
-pub struct StreamStatus {
-    /// Notified once the body is complete.
-    pub completed: Notify,
-    /// Why receiving the body failed, if it did.
-    pub error: Cell<Option<Malformed>>,
-}
-
 /// The body of a client's request.
 pub enum ReceivedBody {
     Buffered(Rc<BodyBuffer>),
-    /// None once its single attempt has taken it.
-    Streaming(Cell<Option<Box<StreamingBody>>>, Rc<StreamStatus>),
+    /// Passed on to its single attempt while it is received.
+    Streaming(Rc<RequestStream>),
 }
 
 impl ReceivedBody {
-    /// Receives a body: whole, or as much as the budget has room for; the rest is streamed.
-    pub async fn receive(mut body: Incoming, budget: &Rc<BufferBudget>) -> Result<Self, Malformed> {
+    /// Receives a body from `client`: whole, or as much as the budget has room for; the rest is streamed.
+    pub async fn receive(
+        mut body: Incoming,
+        budget: &Rc<BufferBudget>,
+        client: &ClientSocket,
+    ) -> Result<Self, Malformed> {
         let content_length = body.size_hint().exact();
         if content_length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(Malformed::BodyTooLong);
@@ -160,10 +155,7 @@
         let (start, mut buffer, mut length) = (Instant::now(), BodyBuffer::new(budget.clone()), 0);
         loop {
             // A fixed time limit would be too short for long bodies, and would let a stalled short one wait for long.
-            let deadline = start
-                + BASE_RECEIVE_TIMEOUT
-                + Duration::from_micros(length * 1_000_000 / MIN_RATE_BYTES_PER_S);
-            let frame = match timeout_at(deadline, body.frame()).await {
+            let frame = match timeout_at(start + receive_timeout(length), body.frame()).await {
                 Err(_) => return Err(Malformed::BodyTimeout),
                 Ok(None) => break,
                 Ok(Some(Err(_))) => return Err(Malformed::InvalidBody),
@@ -176,18 +168,8 @@
                 return Err(Malformed::BodyTooLong);
             }
             if !buffer.push(&mut data, content_length) {
-                buffer.seal_block();
-                let status = Rc::<StreamStatus>::default();
-                let idle_timer = IdleTimer::new(STREAM_IDLE_TIMEOUT);
-                let streaming = StreamingBody {
-                    buffer,
-                    pending: data,
-                    incoming: body,
-                    content_length,
-                    idle_timer,
-                    status: status.clone(),
-                };
-                return Ok(ReceivedBody::Streaming(Cell::new(Some(Box::new(streaming))), status));
+                let stream = RequestStream::new(buffer, data, body, content_length, length, client.clone());
+                return Ok(ReceivedBody::Streaming(Rc::new(stream)));
             }
         }
         buffer.seal_block();
@@ -200,26 +182,17 @@
             ReceivedBody::Buffered(buffer) => {
                 Some(UpstreamBody::Buffered { buffer: buffer.clone(), sent: 0 })
             }
-            ReceivedBody::Streaming(streaming, _) => streaming.take().map(UpstreamBody::Streaming),
+            ReceivedBody::Streaming(stream) => {
+                stream.take_for_attempt().then(|| UpstreamBody::Streaming(stream.clone()))
+            }
         }
     }
 
-    /// For a streamed body: whether and how it has ended.
-    pub fn stream_status(&self) -> Option<&StreamStatus> {
+    /// The stream, for a streamed body.
+    pub fn stream(&self) -> Option<&Rc<RequestStream>> {
         match self {
             ReceivedBody::Buffered(_) => None,
-            ReceivedBody::Streaming(_, status) => Some(status),
-        }
-    }
-
-    /// How long the client may still take to send the body.
-    pub fn max_receive_time(&self) -> Duration {
-        match self {
-            ReceivedBody::Buffered(_) => Duration::ZERO,
-            ReceivedBody::Streaming(..) => {
-                BASE_RECEIVE_TIMEOUT
-                    + Duration::from_micros(MAX_BODY_BYTES * 1_000_000 / MIN_RATE_BYTES_PER_S)
-            }
+            ReceivedBody::Streaming(stream) => Some(stream),
         }
     }
 }
@@ -228,7 +201,7 @@
 pub enum UpstreamBody {
     Empty,
     Buffered { buffer: Rc<BodyBuffer>, sent: usize },
-    Streaming(Box<StreamingBody>),
+    Streaming(Rc<RequestStream>),
 }
 
 impl Body for UpstreamBody {
@@ -242,7 +215,7 @@
                 *sent += 1;
                 Poll::Ready(buffer.blocks.get(*sent - 1).map(|block| Ok(Frame::data(block.0.clone()))))
             }
-            UpstreamBody::Streaming(streaming) => streaming.poll_data(cx),
+            UpstreamBody::Streaming(stream) => stream.poll_data(cx).map_ok(Frame::data),
         }
     }
 
@@ -250,7 +223,7 @@
         match self {
             UpstreamBody::Empty => true,
             UpstreamBody::Buffered { buffer, sent } => *sent >= buffer.blocks.len(),
-            UpstreamBody::Streaming(streaming) => streaming.is_end(),
+            UpstreamBody::Streaming(stream) => stream.is_end(),
         }
     }
 
@@ -258,61 +231,11 @@
         match self {
             UpstreamBody::Empty => SizeHint::with_exact(0),
             UpstreamBody::Buffered { buffer, .. } => SizeHint::with_exact(buffer.length),
-            UpstreamBody::Streaming(streaming) => {
-                streaming.content_length.map_or_else(SizeHint::default, SizeHint::with_exact)
-            }
-        }
-    }
-}
-
-impl StreamingBody {
-    fn is_end(&self) -> bool {
-        self.buffer.blocks.is_empty() && self.pending.is_empty() && self.incoming.is_end_stream()
-    }
-
-    fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let data = self.buffer.pop().unwrap_or_else(|| std::mem::take(&mut self.pending));
-        if !data.is_empty() {
-            self.idle_timer.reset();
-            return Poll::Ready(Some(Ok(self.data_frame(data))));
-        }
-        loop {
-            match Pin::new(&mut self.incoming).poll_frame(cx) {
-                Poll::Ready(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    self.idle_timer.reset();
-                    self.buffer.length += data.len() as u64;
-                    if self.buffer.length > MAX_BODY_BYTES {
-                        return self.fail(Malformed::BodyTooLong);
-                    }
-                    return Poll::Ready(Some(Ok(self.data_frame(data))));
-                }
-                Poll::Ready(Some(Err(_))) => return self.fail(Malformed::InvalidBody),
-                Poll::Ready(None) => {
-                    self.status.completed.notify_one();
-                    return Poll::Ready(None);
-                }
-                Poll::Pending => {
-                    return match self.idle_timer.poll(cx) {
-                        Poll::Ready(()) => self.fail(Malformed::BodyTimeout),
-                        Poll::Pending => Poll::Pending,
-                    };
-                }
+            UpstreamBody::Streaming(stream) => {
+                stream.content_length.map_or_else(SizeHint::default, SizeHint::with_exact)
             }
         }
     }
-
-    fn data_frame(&self, data: Bytes) -> Frame<Bytes> {
-        if self.is_end() {
-            self.status.completed.notify_one();
-        }
-        Frame::data(data)
-    }
-
-    fn fail(&self, reason: Malformed) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        self.status.error.set(Some(reason));
-        Poll::Ready(Some(Err(io::Error::other("the client's request body is incomplete or invalid"))))
-    }
 }
 
 #[cfg(test)]
--- a/crates/flintwell/src/clients/client_socket.rs
+++ b/crates/flintwell/src/clients/client_socket.rs
@@ -1,6 +1,7 @@
-//! Detects that the client of a request has disconnected.
+//! What the socket of a request's client shows: whether the client has disconnected, and what it has sent.
 
 use futures_util::FutureExt;
+use rustix::io::ioctl_fionread;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
@@ -18,6 +19,18 @@
         ClientSocket(Some(stream))
     }
 
+    /// Number of bytes that have arrived and were not read from the socket; `u64::MAX` if that is unknown.
+    pub fn unread_bytes(&self) -> u64 {
+        let Some(stream) = &self.0 else { return 0 };
+        ioctl_fionread(&**stream).unwrap_or_else(|_| if self.has_unread() { u64::MAX } else { 0 })
+    }
+
+    fn has_unread(&self) -> bool {
+        let Some(stream) = &self.0 else { return false };
+        let peeked = SockRef::from(&**stream).peek(&mut [MaybeUninit::uninit()]);
+        !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Whether the client has closed its connection, or its sending side; checked directly before an attempt.
     ///
     /// The HTTP server notices a close only after a request has begun, and not at all while bytes of the next request
--- a/crates/flintwell/src/clients/decode.rs
+++ b/crates/flintwell/src/clients/decode.rs
@@ -54,7 +54,7 @@
         if framing == Framing::Ambiguous {
             return Err(Malformed::AmbiguousFraming);
         }
-        let body = ReceivedBody::receive(body, budget).await?;
+        let body = ReceivedBody::receive(body, budget, &client).await?;
         Self::from_parts(head, body, network, client)
     }
 
@@ -114,10 +114,10 @@
         })
     }
 
-    /// The deadline of the response to a request that the client may have sent at `sent`.
+    /// The deadline of the response to a request that the client may have sent at `sent`. While a body is streamed, the
+    /// attempt extends it for as long as the client is known to be sending.
     pub fn deadline(&self, sent: Micros) -> Micros {
-        sent + self.body.max_receive_time().as_micros() as Micros
-            + (self.client_timeout - DEADLINE_MARGIN_US).max(0)
+        sent + (self.client_timeout - DEADLINE_MARGIN_US).max(0)
     }
 
     /// The request as it is passed to the policy.
--- a/crates/flintwell/src/clients/mod.rs
+++ b/crates/flintwell/src/clients/mod.rs
@@ -6,4 +6,5 @@
 pub mod decode;
 pub mod framing;
 pub mod malformed;
+pub mod request_stream;
 pub mod response;
--- a/crates/flintwell/src/nodes/attempt.rs
+++ b/crates/flintwell/src/nodes/attempt.rs
@@ -9,18 +9,19 @@
 use crate::nodes::response_body::{ResponseBody, StreamedBody};
 use crate::nodes::reuse::Doubt;
 use crate::nodes::send_guard::{PendingSend, SendGuard};
-use crate::process::clock::to_duration;
+use crate::process::clock::{PEER_IDLE_TIMEOUT, to_duration};
 use bytes::Bytes;
 use flintwell_core::interface::{AttemptStatus, Idempotency, Micros, NodeId};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
+use std::future::pending;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Instant;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until};
 use tower::Service;
 
 // A response that fails while it is still buffered can be retried on another node.
@@ -31,7 +32,7 @@
 pub struct Attempt {
     pub request: Rc<ClientRequest>,
     pub node: NodeId,
-    /// Time limit of the attempt.
+    /// Time limit of the attempt; for a streamed body it counts from the client's last byte at the earliest.
     pub timeout: Micros,
     /// When the routing policy chose the node.
     pub chosen_at: Instant,
@@ -46,6 +47,51 @@
             client: self.request.client.clone(),
         }
     }
+
+    /// Receives a streamed body while the attempt lasts; never completes.
+    async fn receive_body(&self) {
+        match self.request.body.stream() {
+            Some(stream) => stream.receive_ahead().await,
+            None => pending().await,
+        }
+    }
+
+    /// Completes once the attempt has to be given up.
+    async fn overdue(&self, progress: &Progress) {
+        let timeout = to_duration(self.timeout);
+        let Some(stream) = self.request.body.stream() else { return sleep(timeout).await };
+        let mut node_progress = NodeProgress::new(progress);
+        loop {
+            // Danger: while the node reads nothing, the client may have finished unnoticed, and its time may be running.
+            let due_at = self.chosen_at.max(stream.unfinished_at()) + timeout;
+            let stalled_at = node_progress.last_at(progress) + PEER_IDLE_TIMEOUT;
+            let now = Instant::now();
+            if now >= due_at.min(stalled_at) {
+                return;
+            }
+            sleep_until(due_at.min(stalled_at).into()).await;
+        }
+    }
+}
+
+/// When a node was last seen to take bytes of a request.
+struct NodeProgress {
+    bytes_written: u64,
+    seen_at: Instant,
+}
+
+impl NodeProgress {
+    fn new(progress: &Progress) -> Self {
+        NodeProgress { bytes_written: progress.bytes_written(), seen_at: Instant::now() }
+    }
+
+    fn last_at(&mut self, progress: &Progress) -> Instant {
+        let bytes_written = progress.bytes_written();
+        if std::mem::replace(&mut self.bytes_written, bytes_written) != bytes_written {
+            self.seen_at = Instant::now();
+        }
+        self.seen_at
+    }
 }
 
 /// The response of a node.
@@ -85,16 +131,11 @@
         Box::pin(async move {
             let progress = Progress::with_counter(&metrics.cache_attempts);
             let mut exchange = pin!(send(&guard, &attempt, &progress, &read_ahead_budget));
-            if let Some(end) = attempt.request.body.stream_status() {
-                // For a body that is streamed from the client, the time limit starts at its last byte.
-                tokio::select! {
-                    result = exchange.as_mut() => return result,
-                    () = end.completed.notified() => {}
-                    () = sleep(attempt.request.body.max_receive_time()) => {}
-                }
-            }
-            if let Ok(result) = timeout(to_duration(attempt.timeout), exchange.as_mut()).await {
-                return result;
+            tokio::select! {
+                biased;
+                result = exchange.as_mut() => return result,
+                () = attempt.receive_body() => {}
+                () = attempt.overdue(&progress) => {}
             }
             // Danger: a response that the node has begun and may stream for a long time would be cut off.
             if progress.release_held() {
--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -75,11 +75,17 @@
         self.on_first_write.set(Some(Box::new(callback)));
     }
 
-    /// The stage that the exchange has reached.
-    pub fn stage(&self) -> Stage {
+    /// Number of bytes of the message that were written.
+    pub fn bytes_written(&self) -> u64 {
         let baseline = self.baseline.take();
-        let begun = baseline.as_ref().is_some_and(|(written, before)| written.get() > *before);
+        let bytes = baseline.as_ref().map_or(0, |(written, before)| written.get().saturating_sub(*before));
         self.baseline.set(baseline);
+        bytes
+    }
+
+    /// The stage that the exchange has reached.
+    pub fn stage(&self) -> Stage {
+        let begun = self.bytes_written() > 0;
         let long_message = self.long_message.take();
         let begun = begun && long_message.as_ref().is_none_or(|message| message.is_written.get());
         self.long_message.set(long_message);
--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -95,9 +95,7 @@
                     }
                     Err(error) => {
                         // A streamed body allows this one attempt only.
-                        if let Some(reason) =
-                            request.body.stream_status().and_then(|status| status.error.take())
-                        {
+                        if let Some(reason) = request.body.stream().and_then(|stream| stream.take_error()) {
                             return ClientResponse::Malformed(reason);
                         }
                         if error.cause == FailureCause::ClientDisconnected {
--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod edge_cases;
 mod handover;
+mod long_writes;
 mod operations;
 mod overload;
 mod peer_messaging;
