A given-up exchange is reset, and the last byte of a long request goes after the rest

Tests failed before: long_writes::write_that_was_given_up_does_not_come_whole_to_its_node_afterwards and long_write_of_a_client_that_has_left_does_not_come_whole_to_its_node; in both the node had the whole write. Callers saw: a write that was answered 503 after 0.6 s, or whose client had left, ran when its node read on 1.2 s later; a keyed one may run twice so, by the client's retry. An unsafe one that had not run was answered as one that may have. Cause: the kernel takes megabytes of a request that the node has not read, which counted as written, and goes on sending them after the connection is closed. Why this works: a reset makes the kernel drop its queue; with TCP_NOTSENT_LOWAT and the last byte written by itself a long request counts as written only once the rest was sent to the node. Short requests are one write as before, with no further system call; a connection that is idle, or whose response has begun, is closed as before.

--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -38,6 +38,7 @@
 const UNKNOWN_LENGTH_HOLD: Duration = Duration::from_millis(100); // for a response of unknown length to end
 const PEEKED_BYTES: usize = 64; // enough to tell some bytes from none, and roughly how many
 const MAX_SHORT_BODY_BYTES: u64 = 65_536; // a longer body is never written together with its head
+const UNSENT_LOW_WATERMARK_BYTES: u32 = 1; // the kernel accepts more once it holds fewer unsent bytes
 
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0); // of a connection
 
@@ -291,6 +292,20 @@
         self.stream.upgrade()
     }
 
+    /// Keeps the kernel from accepting bytes while it holds unsent ones, so that what was written is what the node has
+    /// been sent. A node that reads slowly would otherwise get megabytes of a message that counts as written.
+    fn limit_unsent_bytes(&self) {
+        if let Some(stream) = self.stream.upgrade() {
+            // Where the platform lacks the option, the message is sent all the same.
+            let _ = SockRef::from(&*stream).set_tcp_notsent_lowat(UNSENT_LOW_WATERMARK_BYTES);
+        }
+    }
+
+    /// Whether an exchange is in progress to which no byte of a response has come.
+    fn awaits_response(&self) -> bool {
+        self.exchanges.is_in_progress() && self.first_byte_at().is_none()
+    }
+
     /// Sends the request and waits for the whole response, or for as much of a long one as shows that it is
     /// long.
     pub async fn exchange(
@@ -305,6 +320,10 @@
         self.message.is_body_done.set(false);
         self.message.is_written.set(false);
         let is_long = request.body().size_hint().exact().is_none_or(|length| length > MAX_SHORT_BODY_BYTES);
+        self.message.is_long.set(is_long);
+        if is_long {
+            self.limit_unsent_bytes();
+        }
         progress.long_message.set(is_long.then(|| self.message.clone()));
         self.message.written_counter.set(progress.written_counter.clone());
         self.message.on_first_write.set(progress.on_first_write.take());
@@ -378,6 +397,14 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        // Danger: after a plain close the kernel goes on sending what is queued, and the node would run a request that
+        // was given up. A reset drops the queue.
+        if self.awaits_response()
+            && let Some(stream) = self.stream.upgrade()
+        {
+            // An error means that the connection is broken already.
+            let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        }
         self.driver.abort();
     }
 }
--- a/crates/flintwell/src/nodes/metered_stream.rs
+++ b/crates/flintwell/src/nodes/metered_stream.rs
@@ -73,6 +73,11 @@
         self.previous_ended_at.set(self.ended_at.get());
     }
 
+    /// Whether an exchange has begun whose response was not received whole.
+    pub fn is_in_progress(&self) -> bool {
+        self.is_in_progress.get()
+    }
+
     /// The response was received whole.
     pub fn end(&self) {
         self.is_in_progress.set(false);
@@ -195,6 +200,8 @@
     pub is_body_done: Cell<bool>,
     /// The last byte was written to the socket.
     pub is_written: Cell<bool>,
+    /// The node does not process the message before its last byte, which is held back until the rest was sent.
+    pub is_long: Cell<bool>,
     /// Incremented once the message is written whole.
     pub written_counter: Cell<Option<Counter>>,
     /// Called once the first bytes are written.
@@ -226,6 +233,17 @@
     }
 }
 
+impl OutgoingMessage {
+    /// How much of `buf`, which follows what was written so far, may be written now: of a long message not its last byte
+    /// together with others. So the last byte is accepted by the kernel only once the rest was sent.
+    fn writable<'a>(&self, buf: &'a [u8]) -> &'a [u8] {
+        match buf.split_last() {
+            Some((_, rest)) if self.is_long.get() && self.is_body_done.get() && !rest.is_empty() => rest,
+            _ => buf,
+        }
+    }
+}
+
 impl MeteredStream {
     fn written(&self) -> Written {
         match self.message.is_written.get() {
@@ -254,7 +272,8 @@
 
 impl AsyncWrite for MeteredStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let message = self.message.clone();
+        let polled = Pin::new(&mut self.stream).poll_write(cx, message.writable(buf));
         if let Poll::Ready(Ok(bytes)) = polled {
             self.bytes_written.set(self.bytes_written.get() + bytes as u64);
             if let Some(on_first_write) = self.message.on_first_write.take() {
--- a/crates/flintwell/tests/process/long_writes.rs
+++ b/crates/flintwell/tests/process/long_writes.rs
@@ -154,6 +154,8 @@
 
 /// What a client saw of its long write.
 struct Outcome {
+    /// How long the client would wait.
+    timeout: Duration,
     /// Status of the answer; none if there was none.
     status: Option<u16>,
     /// When the client had written its last byte; none if it could not.
@@ -170,26 +172,47 @@
     /// Checks that the request got its final answer in time; returns its status.
     fn status_in_time(&self) -> u16 {
         let waited = self.waited();
-        assert!(waited <= CLIENT_TIMEOUT + ANSWER_GRACE, "answer {:?} after {waited:?}", self.status);
+        assert!(waited <= self.timeout + ANSWER_GRACE, "answer {:?} after {waited:?}", self.status);
         self.status.expect("a final answer")
     }
 }
 
-/// Writes a body of this length in a single go, and then reads the answer.
-fn write_long(proxy: &Proxy, class: &str, id: &str, bytes: usize, framing: Framing) -> Outcome {
-    let mut client = proxy.client();
-    let header = match framing {
-        Framing::Length => format!("Content-Length: {bytes}"),
-        Framing::Chunks => "Transfer-Encoding: chunked".to_owned(),
-    };
-    client.send(&format!(
-        "PUT /api/{id} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Deadline: 1.0\r\n\
-         Idempotency-Key: m-{id}\r\n{header}\r\n\r\n"
-    ));
-    let is_written = write_body(client.0.get_mut(), bytes, framing).is_ok();
-    let written_at = is_written.then(Instant::now);
-    let status = client.read_response().map(|response| response.status());
-    Outcome { status, written_at, answered_at: Instant::now() }
+/// A long write.
+#[derive(Clone, Copy)]
+struct LongWrite {
+    class: &'static str,
+    bytes: usize,
+    framing: Framing,
+    timeout: Duration,
+}
+
+impl LongWrite {
+    fn new(class: &'static str, bytes: usize) -> LongWrite {
+        LongWrite { class, bytes, framing: Framing::Length, timeout: CLIENT_TIMEOUT }
+    }
+
+    /// Writes the request in a single go.
+    fn send(&self, client: &mut Client) -> std::io::Result<()> {
+        let LongWrite { class, bytes, framing, timeout } = self;
+        let header = match framing {
+            Framing::Length => format!("Content-Length: {bytes}"),
+            Framing::Chunks => "Transfer-Encoding: chunked".to_owned(),
+        };
+        client.send(&format!(
+            "PUT /api/key HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: long\r\nX-Class: {class}\r\nX-Deadline: {}\r\n\
+             Idempotency-Key: m-long\r\n{header}\r\n\r\n",
+            timeout.as_secs_f64()
+        ));
+        write_body(client.0.get_mut(), *bytes, *framing)
+    }
+
+    /// Writes the request in a single go, and then reads the answer.
+    fn run(&self, proxy: &Proxy) -> Outcome {
+        let mut client = proxy.client();
+        let written_at = self.send(&mut client).is_ok().then(Instant::now);
+        let status = client.read_response().map(|response| response.status());
+        Outcome { timeout: self.timeout, status, written_at, answered_at: Instant::now() }
+    }
 }
 
 fn write_body(stream: &mut TcpStream, bytes: usize, framing: Framing) -> std::io::Result<()> {
@@ -231,7 +254,7 @@
         // The rest of the body fits into the buffers of the proxy and the kernel, so that the client can finish.
         let origin = SlowOrigin::start(pausing_after(5 << 20, Duration::from_secs(4)), |_| true);
         let proxy = Proxy::start(&config_with(&origin, 32));
-        let outcome = write_long(&proxy, "once", "paused", 12 << 20, framing);
+        let outcome = LongWrite { framing, ..LongWrite::new("once", 12 << 20) }.run(&proxy);
         assert!(outcome.written_at.is_some(), "{framing:?}: the client could write all");
         assert_ne!(outcome.status_in_time(), 200, "{framing:?}");
     }
@@ -246,7 +269,7 @@
         let origin = SlowOrigin::start(pausing_after(1 << 20, Duration::from_secs(30)), |_| true);
         let proxy = Proxy::start(&config_with(&origin, 4));
         let begun_at = Instant::now();
-        let outcome = write_long(&proxy, "once", "spent", bytes, framing);
+        let outcome = LongWrite { framing, ..LongWrite::new("once", bytes) }.run(&proxy);
         assert_ne!(outcome.status_in_time(), 200, "{framing:?}, {bytes} bytes");
         let took = outcome.answered_at - begun_at;
         assert!(took < Duration::from_secs(3), "{framing:?}, {bytes} bytes: {took:?}");
@@ -258,7 +281,7 @@
 fn streamed_write_is_served_after_a_pause_while_its_client_is_still_sending() {
     let origin = SlowOrigin::start(pausing_after(1 << 20, Duration::from_secs(3)), |_| true);
     let proxy = Proxy::start(&config_with(&origin, 4));
-    let outcome = write_long(&proxy, "once", "unfinished", 32 << 20, Framing::Length);
+    let outcome = LongWrite::new("once", 32 << 20).run(&proxy);
     assert_eq!(outcome.status_in_time(), 200);
 }
 
@@ -275,7 +298,45 @@
     let mut config = config_with(&origin, 4);
     config["settings"]["use_cases"][2]["overdue_earnings"] = json!(0.25);
     let proxy = Proxy::start(&config);
-    let outcome = write_long(&proxy, "once", "late", 4 << 20, Framing::Length);
+    let outcome = LongWrite::new("once", 4 << 20).run(&proxy);
     assert_ne!(outcome.status_in_time(), 200);
     assert!(origin.arrivals()[0].deadline <= CLIENT_TIMEOUT.as_secs_f64(), "{:?}", origin.arrivals());
 }
+
+/// Time for which nodes drop repeats of a keyed write.
+const WINDOW: Duration = Duration::from_millis(1_000);
+/// A configuration whose keyed class has `WINDOW` and time for a repeat after it.
+fn config_with_window(origin: &SlowOrigin) -> Value {
+    let mut config = config_with(origin, 64);
+    let class = &mut config["settings"]["use_cases"][1];
+    (class["key_ttl"], class["goal_time"], class["outer_limit"]) =
+        (json!(WINDOW.as_secs_f64()), json!(3.0), json!(5.0));
+    config
+}
+
+/// The kernel went on sending what was queued of a write that had been given up, and the node ran it after the answer.
+#[test]
+fn write_that_was_given_up_does_not_come_whole_to_its_node_afterwards() {
+    for class in ["write", "once"] {
+        let origin = SlowOrigin::start(pausing_after(6 << 20, Duration::from_millis(1_800)), |_| true);
+        let proxy = Proxy::start(&config_with(&origin, 64));
+        let outcome = LongWrite::new(class, 8 << 20).run(&proxy);
+        assert_eq!(outcome.status_in_time(), 503, "{class}: it did not run, and does not run later");
+        thread::sleep(Duration::from_millis(2_500));
+        assert!(origin.arrivals()[0].whole_at.is_none(), "{class}: {:?}", origin.arrivals());
+    }
+}
+
+/// A node got the rest of a long write, and ran it, long after the client had closed its connection.
+#[test]
+fn long_write_of_a_client_that_has_left_does_not_come_whole_to_its_node() {
+    let origin = SlowOrigin::start(pausing_after(6 << 20, Duration::from_millis(1_200)), |_| true);
+    let proxy = Proxy::start(&config_with_window(&origin));
+    let mut client = proxy.client();
+    let write = LongWrite { timeout: Duration::from_secs(5), ..LongWrite::new("write", 8 << 20) };
+    write.send(&mut client).expect("write all");
+    thread::sleep(Duration::from_millis(300));
+    drop(client);
+    thread::sleep(Duration::from_millis(1_800));
+    assert!(origin.arrivals()[0].whole_at.is_none(), "{:?}", origin.arrivals());
+}
