A repeat of a keyed write ends within the window for repeats

Test failed before: long_writes::repeat_of_a_long_write_does_not_end_after_the_window_for_repeats, last byte 1.49 s after the first attempt's, window 1.0 s. Cause: nodes begin a request at its last byte, and the window was asked for the first byte only; nothing between the first and the last byte knew of it. Evidence: attempt 2 begins 1 ms after the reset, at 0.281 s, inside the window, and its last byte comes at 2.282 s, 2.202 s after that of attempt 1. Why this works: the policy hands the window's end to the host with each attempt that may be a repeat; the host gives a repeat up that isn't written by then (a long one 0.1 s before, for what its node's kernel holds), with a reset, and asks the window, the time limit and the client again before the last byte of a long request. A repeat that came in time keeps its time limit.

--- a/crates/flintwell-conduct/src/key_homes.rs
+++ b/crates/flintwell-conduct/src/key_homes.rs
@@ -1,8 +1,8 @@
 //! Estimates how many keys get another home cache when settings change, by running the policy with both settings.
 
 use flintwell_core::interface::{
-    AttemptOutcome, AttemptStatus, Host, IncomingRequest, Key, ListUpdateKind, Micros, NodeId, RequestId,
-    Settings,
+    AttemptLimits, AttemptOutcome, AttemptStatus, Host, IncomingRequest, Key, ListUpdateKind, Micros, NodeId,
+    RequestId, Settings,
 };
 use flintwell_core::policy::Policy;
 use flintwell_settings::node_list::NodeList;
@@ -22,7 +22,7 @@
 struct FirstAttempt(Rc<RefCell<Option<NodeId>>>);
 
 impl Host for FirstAttempt {
-    fn start_attempt(&mut self, _: &RequestId, node: &NodeId, _: Micros) {
+    fn start_attempt(&mut self, _: &RequestId, node: &NodeId, _: AttemptLimits) {
         self.0.borrow_mut().get_or_insert_with(|| node.clone());
     }
     fn refuse_request(&mut self, _: &RequestId, _: Micros) {}
--- a/crates/flintwell-core/src/interface.rs
+++ b/crates/flintwell-core/src/interface.rs
@@ -10,8 +10,8 @@
 
 /// Actions that the module requests. Each takes effect at the time passed to the call that caused it.
 pub trait Host {
-    /// Starts an attempt that times out after `timeout`.
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, timeout: Micros);
+    /// Starts an attempt, which has to keep these limits.
+    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, limits: AttemptLimits);
     /// Final answer: the request was refused and may be retried safely. `retry_after` is a hint for the
     /// client, 0 for none.
     fn refuse_request(&mut self, request: &RequestId, retry_after: Micros);
@@ -25,6 +25,16 @@
     fn subscribe_to_list(&mut self);
 }
 
+/// Time limits of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimits {
+    /// The attempt times out this long after its start.
+    pub timeout: Micros,
+    /// When nodes stop to recognize it as a repeat: its last byte has to reach its node before. `None` if no earlier
+    /// attempt may have run, or if the request may run again.
+    pub send_by: Option<Micros>,
+}
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -862,17 +862,25 @@
             return false;
         }
         let Some(first) = request.may_have_run() else { return true };
+        let window_end = self.dedup_window_end(request);
         match class.idempotency {
             Idempotency::Safe => true,
             Idempotency::Unsafe => false,
             // A repeat that waits for its connection could be sent after the deduplication window has ended.
-            Idempotency::Keyed if now + self.settings.dial_timeout >= first.sent_at + class.dedup_window => {
+            Idempotency::Keyed if window_end.is_some_and(|end| now + self.settings.dial_timeout >= end) => {
                 false
             }
             Idempotency::Keyed => node.shares_dedup_scope(&self.nodes[first.node], class.dedup_scope),
         }
     }
 
+    /// When nodes stop to recognize repeats of a keyed request that may have run.
+    fn dedup_window_end(&self, request: &Request) -> Option<Micros> {
+        let class = &self.settings.classes[request.class];
+        let first = request.may_have_run().filter(|_| class.idempotency == Idempotency::Keyed)?;
+        Some(first.sent_at + class.dedup_window)
+    }
+
     /// Whether the request may be refused, that is, whether a retry by the client does no harm.
     fn may_refuse(&self, now: Micros, request: &Request) -> bool {
         let class = &self.settings.classes[request.class];
@@ -880,7 +888,7 @@
             Some(first) if class.idempotency == Idempotency::Keyed => {
                 class.dedup_scope == DedupScope::All
                     && first.status.is_some()
-                    && now < first.sent_at + class.dedup_window
+                    && self.dedup_window_end(request).is_some_and(|end| now < end)
             }
             Some(_) => class.idempotency == Idempotency::Safe,
             None => true,
@@ -901,6 +909,7 @@
         let min_timeout = self.settings.classes[request.class].latency_target as f64 * MIN_TIMEOUT_FRACTION;
         let usual_timeout = (times.mean + TIMEOUT_DEVIATIONS * times.deviation).max(min_timeout) as Micros;
         let timeout = if at_origin || request.is_write { time_left } else { usual_timeout.min(time_left) };
+        let send_by = self.dedup_window_end(request);
         let node = &mut self.nodes[n];
         node.recent_requests.add(now, self.settings.cold_overload_window);
         node.long_term_requests.add(now, REQUEST_COUNT_DECAY);
@@ -920,7 +929,7 @@
             self.caches.in_flight += 1;
             self.caches.recent_sent.add(now, self.settings.cold_overload_window);
         }
-        self.host.start_attempt(id, &node.entry.node, timeout);
+        self.host.start_attempt(id, &node.entry.node, AttemptLimits { timeout, send_by });
         if let Some(request) = self.requests.get_mut(id) {
             request.attempts.push(Attempt { node: n, sent_at: now, status: None });
         }
--- a/crates/flintwell-core/tests/policy/harness.rs
+++ b/crates/flintwell-core/tests/policy/harness.rs
@@ -65,7 +65,8 @@
 pub struct ModelHost(pub Rc<RefCell<HostState>>);
 
 impl Host for ModelHost {
-    fn start_attempt(&mut self, id: &RequestId, node: &NodeId, timeout: Micros) {
+    fn start_attempt(&mut self, id: &RequestId, node: &NodeId, limits: AttemptLimits) {
+        let AttemptLimits { timeout, send_by } = limits;
         let mut state = self.0.borrow_mut();
         let now = state.now;
         let target = state.nodes.get(node).expect("attempt at a node that was never listed").clone();
@@ -95,6 +96,11 @@
                 Idempotency::Unsafe => false,
             };
             assert!(may_repeat, "{id} might run twice");
+            let is_keyed = class.idempotency == Idempotency::Keyed;
+            let window_end = is_keyed.then_some(first.started_at + class.dedup_window);
+            assert_eq!(send_by, window_end, "{id} might run twice if it is written later");
+        } else {
+            assert_eq!(send_by, None, "{id} is no repeat");
         }
         let times_out_at = (now + timeout).min(request.deadline);
         let attempt = AttemptRecord { node: node.clone(), started_at: now, times_out_at, status: None };
--- a/crates/flintwell-core/tests/ramp.rs
+++ b/crates/flintwell-core/tests/ramp.rs
@@ -43,7 +43,7 @@
 struct RecordingHost(Rc<RefCell<Vec<(RequestId, NodeId)>>>);
 
 impl Host for RecordingHost {
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, _: Micros) {
+    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, _: AttemptLimits) {
         self.0.borrow_mut().push((request.clone(), node.clone()));
     }
     fn refuse_request(&mut self, _: &RequestId, _: Micros) {}
--- a/crates/flintwell-emulator/src/simulation.rs
+++ b/crates/flintwell-emulator/src/simulation.rs
@@ -3,8 +3,8 @@
 use crate::node::Node;
 use crate::scenario::{Fault, SecondStats, SimulationConfig, SimulationResult};
 use flintwell_core::interface::{
-    AttemptStatus, Class, DedupScope, Host, Idempotency, IncomingRequest, Key, ListUpdateKind, Micros,
-    NodeEntry, NodeId, NodeState, RequestId, Settings, WeightMode,
+    AttemptLimits, AttemptStatus, Class, DedupScope, Host, Idempotency, IncomingRequest, Key, ListUpdateKind,
+    Micros, NodeEntry, NodeId, NodeState, RequestId, Settings, WeightMode,
 };
 use flintwell_core::policy::Policy;
 use flintwell_membership::member::{self, BufferedTransport, Member, MemberId};
@@ -40,8 +40,8 @@
 struct RecordingHost(Rc<RefCell<Vec<Action>>>);
 
 impl Host for RecordingHost {
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, timeout: Micros) {
-        self.0.borrow_mut().push(Action::StartAttempt(request.clone(), node.clone(), timeout));
+    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, limits: AttemptLimits) {
+        self.0.borrow_mut().push(Action::StartAttempt(request.clone(), node.clone(), limits.timeout));
     }
     fn refuse_request(&mut self, request: &RequestId, retry_after: Micros) {
         self.0.borrow_mut().push(Action::Refuse(request.clone(), retry_after));
--- a/crates/flintwell-simhost/src/wire.rs
+++ b/crates/flintwell-simhost/src/wire.rs
@@ -2,8 +2,8 @@
 //! directly into the reply.
 
 use flintwell_core::interface::{
-    AttemptOutcome, AttemptStatus, Host, IncomingRequest, Key, ListUpdateKind, Micros, NodeEntry, NodeId,
-    NodeState, RequestId,
+    AttemptLimits, AttemptOutcome, AttemptStatus, Host, IncomingRequest, Key, ListUpdateKind, Micros,
+    NodeEntry, NodeId, NodeState, RequestId,
 };
 use flintwell_core::policy::Policy;
 use flintwell_settings::{decode, seconds_to_micros};
@@ -84,12 +84,12 @@
 }
 
 impl Host for SimHost {
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, timeout: Micros) {
+    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, limits: AttemptLimits) {
         self.write_action("submit_to", |reply| {
             reply.push(b',');
             write_text(reply, request);
             reply.push(b',');
-            write_seconds(reply, timeout);
+            write_seconds(reply, limits.timeout);
             reply.push(b',');
             write_text(reply, node);
         });
--- a/crates/flintwell/src/clients/body.rs
+++ b/crates/flintwell/src/clients/body.rs
@@ -188,6 +188,14 @@
         }
     }
 
+    /// Length of a body that is buffered whole.
+    pub fn buffered_length(&self) -> Option<u64> {
+        match self {
+            ReceivedBody::Buffered(buffer) => Some(buffer.length),
+            ReceivedBody::Streaming(_) => None,
+        }
+    }
+
     /// The stream, for a streamed body.
     pub fn stream(&self) -> Option<&Rc<RequestStream>> {
         match self {
--- a/crates/flintwell/src/nodes/attempt.rs
+++ b/crates/flintwell/src/nodes/attempt.rs
@@ -3,7 +3,7 @@
 use crate::clients::body::{BufferBudget, MAX_BODY_BYTES, UpstreamBody};
 use crate::clients::decode::ClientRequest;
 use crate::management::metrics::Metrics;
-use crate::nodes::connection::{BodyLimits, Connection, Progress, ReceivedBody};
+use crate::nodes::connection::{BodyLimits, Connection, MAX_SHORT_BODY_BYTES, Progress, ReceivedBody};
 use crate::nodes::exchange_error::{ExchangeError, FailureCause, Stage};
 use crate::nodes::pool::Pool;
 use crate::nodes::response_body::{ResponseBody, StreamedBody};
@@ -20,7 +20,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::time::{sleep, sleep_until};
 use tower::Service;
 
@@ -28,12 +28,16 @@
 const RESPONSE_LIMITS: BodyLimits = BodyLimits { buffered: 65_536, total: MAX_BODY_BYTES };
 const FINAL_YIELDS: usize = 3; // turns of the runtime: for the socket, the connection's driver and this task
 
+const LAST_BYTE_MARGIN: Duration = Duration::from_millis(100); // for a node to read what its kernel has of a long body
+
 /// A request for one node.
 pub struct Attempt {
     pub request: Rc<ClientRequest>,
     pub node: NodeId,
     /// Time limit of the attempt; for a streamed body it counts from the client's last byte at the earliest.
     pub timeout: Micros,
+    /// When nodes stop to recognize it as a repeat; none if it is not a repeat.
+    pub send_by: Option<Instant>,
     /// When the routing policy chose the node.
     pub chosen_at: Instant,
 }
@@ -44,10 +48,32 @@
             node: self.node.clone(),
             chosen_at: self.chosen_at,
             timeout: self.timeout,
+            send_by: self.send_by,
+            last_byte_by: self.last_byte_by(),
             client: self.request.client.clone(),
         }
     }
 
+    /// Until when the last byte may be written, apart from a streamed body's.
+    fn last_byte_by(&self) -> Option<Instant> {
+        let length = self.request.body.buffered_length()?;
+        let margin = if length > MAX_SHORT_BODY_BYTES { LAST_BYTE_MARGIN } else { Duration::ZERO };
+        let window_end = self.send_by.map(|send_by| send_by.checked_sub(margin).unwrap_or(send_by));
+        let timeout_end = self.chosen_at + to_duration(self.timeout);
+        Some(window_end.map_or(timeout_end, |window_end| window_end.min(timeout_end)))
+    }
+
+    /// Completes if the last byte is not written by the time by which it has to be.
+    async fn unsent_in_time(&self, progress: &Progress) {
+        if let Some(last_byte_by) = self.last_byte_by() {
+            sleep_until(last_byte_by.into()).await;
+            if progress.stage() == Stage::Unwritten {
+                return;
+            }
+        }
+        pending().await
+    }
+
     /// Receives a streamed body while the attempt lasts; never completes.
     async fn receive_body(&self) {
         match self.request.body.stream() {
@@ -136,6 +162,9 @@
                 result = exchange.as_mut() => return result,
                 () = attempt.receive_body() => {}
                 () = attempt.overdue(&progress) => {}
+                () = attempt.unsent_in_time(&progress), if attempt.send_by.is_some() => {
+                    return Err(ExchangeError::before_write(FailureCause::Expired));
+                }
             }
             // Danger: a response that the node has begun and may stream for a long time would be cut off.
             if progress.release_held() {
@@ -163,8 +192,9 @@
     // Time has passed since the node was chosen: a dial, a wait for a permit, a stall of this process.
     let pending = attempt.pending_send();
     guard.check(&pending)?;
-    let (permitted_at, sent_guard) = (Instant::now(), guard.clone());
+    let (permitted_at, sent_guard, last_byte) = (Instant::now(), guard.clone(), pending.clone());
     progress.set_on_first_write(move || sent_guard.check_sent(&pending, permitted_at));
+    progress.set_last_byte_check(move || last_byte.check_last_byte());
     let (idle, first_on_connection) = (connection.idle_since.elapsed(), connection.is_unused());
     let body = attempt
         .request
--- a/crates/flintwell/src/nodes/connection.rs
+++ b/crates/flintwell/src/nodes/connection.rs
@@ -6,7 +6,9 @@
 use crate::nodes::exchange_error::{
     ExchangeError, FailureCause, Stage, connect_failure_cause, exchange_failure_cause,
 };
-use crate::nodes::metered_stream::{ExchangeRecord, MeteredStream, OutgoingMessage, TrackedBody};
+use crate::nodes::metered_stream::{
+    ExchangeRecord, LastByteCheck, MeteredStream, OutgoingMessage, TrackedBody,
+};
 use crate::nodes::rest_policy::{DOUBT_WINDOW, ResponseDigest, ResponseHistory, is_distinct};
 use crate::nodes::reuse::{Doubt, Peer, Unusable};
 use crate::nodes::stream::SharedStream;
@@ -37,7 +39,8 @@
 const MAX_READ_BUFFER_BYTES: usize = 32_768; // for each of several hundred connections
 const UNKNOWN_LENGTH_HOLD: Duration = Duration::from_millis(100); // for a response of unknown length to end
 const PEEKED_BYTES: usize = 64; // enough to tell some bytes from none, and roughly how many
-const MAX_SHORT_BODY_BYTES: u64 = 65_536; // a longer body is never written together with its head
+/// A longer body is never written together with its head.
+pub const MAX_SHORT_BODY_BYTES: u64 = 65_536;
 const UNSENT_LOW_WATERMARK_BYTES: u32 = 1; // the kernel accepts more once it holds fewer unsent bytes
 
 static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0); // of a connection
@@ -53,6 +56,8 @@
     written_counter: Option<Counter>,
     /// Called once the first bytes are written.
     on_first_write: Cell<Option<Box<dyn FnOnce()>>>,
+    /// Called before the last byte of a long message is written.
+    last_byte_check: Cell<Option<LastByteCheck>>,
     /// A response of unknown length has begun and is held back to see whether it is short.
     is_held: Cell<bool>,
     /// Ends that hold.
@@ -84,6 +89,11 @@
         bytes
     }
 
+    /// Sets a check that has to pass before the last byte of a long message is written.
+    pub fn set_last_byte_check(&self, check: impl Fn() -> Result<(), FailureCause> + 'static) {
+        self.last_byte_check.set(Some(Box::new(check)));
+    }
+
     /// The stage that the exchange has reached.
     pub fn stage(&self) -> Stage {
         let begun = self.bytes_written() > 0;
@@ -319,6 +329,7 @@
         self.message.first_byte.set(self.bytes_written.get());
         self.message.is_body_done.set(false);
         self.message.is_written.set(false);
+        self.message.refused_because.set(None);
         let is_long = request.body().size_hint().exact().is_none_or(|length| length > MAX_SHORT_BODY_BYTES);
         self.message.is_long.set(is_long);
         if is_long {
@@ -327,8 +338,12 @@
         progress.long_message.set(is_long.then(|| self.message.clone()));
         self.message.written_counter.set(progress.written_counter.clone());
         self.message.on_first_write.set(progress.on_first_write.take());
+        self.message.last_byte_check.set(progress.last_byte_check.take());
         let request = request.map(|body| TrackedBody { body, message: self.message.clone() });
-        let failed = |error: hyper::Error| progress.error(exchange_failure_cause(&error));
+        let message = self.message.clone();
+        let failed = |error: hyper::Error| {
+            progress.error(message.refused_because.take().unwrap_or_else(|| exchange_failure_cause(&error)))
+        };
         let (head, body) = self.sender.send_request(request).await.map_err(failed)?.into_parts();
         if self.exchanges.is_early() {
             return Err(self.reject(Doubt::Early, progress.stage()));
--- a/crates/flintwell/src/nodes/metered_stream.rs
+++ b/crates/flintwell/src/nodes/metered_stream.rs
@@ -3,6 +3,7 @@
 
 use crate::clients::body::UpstreamBody;
 use crate::clients::framing::{BodyDecoder, ResponseScanner};
+use crate::nodes::exchange_error::FailureCause;
 use crate::nodes::reuse::{Doubt, ExcessBytes, Peer, Unusable};
 use crate::nodes::stream::SharedStream;
 use crate::process::counter::{Counter, increment};
@@ -206,8 +207,15 @@
     pub written_counter: Cell<Option<Counter>>,
     /// Called once the first bytes are written.
     pub on_first_write: Cell<Option<Box<dyn FnOnce()>>>,
+    /// Called before the last byte of a long message is written.
+    pub last_byte_check: Cell<Option<LastByteCheck>>,
+    /// Why the last byte was not written, if that check has failed.
+    pub refused_because: Cell<Option<FailureCause>>,
 }
 
+/// Returns the reason if the last byte of a message may not be written now.
+pub type LastByteCheck = Box<dyn Fn() -> Result<(), FailureCause>>;
+
 /// A request body that records when its last byte was handed out.
 pub struct TrackedBody {
     pub body: UpstreamBody,
@@ -234,14 +242,30 @@
 }
 
 impl OutgoingMessage {
-    /// How much of `buf`, which follows what was written so far, may be written now: of a long message not its last byte
-    /// together with others. So the last byte is accepted by the kernel only once the rest was sent.
-    fn writable<'a>(&self, buf: &'a [u8]) -> &'a [u8] {
+    /// How much of `buf`, which follows what was written so far, may be written now. The last byte of a long message is
+    /// written by itself, which the kernel accepts only once the rest was sent, and if its check passes.
+    fn permitted_part<'a>(&self, buf: &'a [u8]) -> io::Result<&'a [u8]> {
         match buf.split_last() {
-            Some((_, rest)) if self.is_long.get() && self.is_body_done.get() && !rest.is_empty() => rest,
-            _ => buf,
+            Some((_, rest)) if self.is_long.get() && self.is_body_done.get() => {
+                if rest.is_empty() {
+                    self.check_last_byte().map(|()| buf)
+                } else {
+                    Ok(rest)
+                }
+            }
+            _ => Ok(buf),
         }
     }
+
+    fn check_last_byte(&self) -> io::Result<()> {
+        let check = self.last_byte_check.take();
+        let checked = check.as_ref().map_or(Ok(()), |check| check());
+        self.last_byte_check.set(check);
+        checked.map_err(|cause| {
+            self.refused_because.set(Some(cause));
+            io::Error::other("the last byte may not be sent")
+        })
+    }
 }
 
 impl MeteredStream {
@@ -273,7 +297,7 @@
 impl AsyncWrite for MeteredStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let message = self.message.clone();
-        let polled = Pin::new(&mut self.stream).poll_write(cx, message.writable(buf));
+        let polled = Pin::new(&mut self.stream).poll_write(cx, message.permitted_part(buf)?);
         if let Poll::Ready(Ok(bytes)) = polled {
             self.bytes_written.set(self.bytes_written.get() + bytes as u64);
             if let Some(on_first_write) = self.message.on_first_write.take() {
--- a/crates/flintwell/src/nodes/send_guard.rs
+++ b/crates/flintwell/src/nodes/send_guard.rs
@@ -24,9 +24,26 @@
     pub chosen_at: Instant,
     /// Time limit of the attempt.
     pub timeout: Micros,
+    /// When nodes stop to recognize it as a repeat; none if it is not a repeat.
+    pub send_by: Option<Instant>,
+    /// Until when its last byte may be written.
+    pub last_byte_by: Option<Instant>,
     pub client: ClientSocket,
 }
 
+impl PendingSend {
+    /// Returns the reason if the last byte of a long request may not be written now. Its first bytes were sent in time,
+    /// so the list is not asked again.
+    pub fn check_last_byte(&self) -> Result<(), FailureCause> {
+        // Danger: the window for a repeat, or the request's time limit, may have passed since the first byte.
+        if self.last_byte_by.is_some_and(|last_byte_by| Instant::now() >= last_byte_by) {
+            return Err(FailureCause::Expired);
+        }
+        // Danger: a node begins a request at its last byte, and the client may have left in the middle.
+        if self.client.has_disconnected() { Err(FailureCause::ClientDisconnected) } else { Ok(()) }
+    }
+}
+
 /// Counters of requests that were sent against a rule, by rule.
 #[derive(Clone, Default)]
 pub struct Violations {
@@ -81,7 +98,9 @@
         // Danger: the window for a repeat, or the request's time limit, may have passed; the policy reserved
         // no more than the time of a dial for either.
         let age = pending.chosen_at.elapsed();
-        if age >= to_duration(pending.timeout) || age > self.pool.dial_timeout + CHOICE_AGE_MARGIN {
+        let is_late_repeat = pending.send_by.is_some_and(|send_by| Instant::now() >= send_by);
+        let max_age = to_duration(pending.timeout).min(self.pool.dial_timeout + CHOICE_AGE_MARGIN);
+        if is_late_repeat || age >= max_age {
             return Err(ExchangeError::before_write(FailureCause::Expired));
         }
         // Danger: the client may have disconnected meanwhile; the node would execute a request whose response
--- a/crates/flintwell/src/requests/dispatcher.rs
+++ b/crates/flintwell/src/requests/dispatcher.rs
@@ -8,8 +8,8 @@
 use crate::process::clock::{Clock, StallDetector};
 use crate::requests::shadow::{Decision, ShadowPolicy};
 use flintwell_core::interface::{
-    AttemptOutcome, AttemptStatus, Host, IncomingRequest, ListUpdateKind, Micros, NodeEntry, NodeId,
-    RequestId, Settings,
+    AttemptLimits, AttemptOutcome, AttemptStatus, Host, IncomingRequest, ListUpdateKind, Micros, NodeEntry,
+    NodeId, RequestId, Settings,
 };
 use flintwell_core::policy::Policy;
 use std::cell::RefCell;
@@ -27,7 +27,7 @@
 
 /// The next step of a request.
 pub enum Step {
-    Attempt { node: NodeId, timeout: Micros },
+    Attempt { node: NodeId, limits: AttemptLimits },
     Refuse { retry_after: Micros },
     Fail,
 }
@@ -71,8 +71,8 @@
 struct PolicyHost(Rc<HostState>);
 
 impl Host for PolicyHost {
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, timeout: Micros) {
-        self.0.post_step(request, Step::Attempt { node: node.clone(), timeout });
+    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, limits: AttemptLimits) {
+        self.0.post_step(request, Step::Attempt { node: node.clone(), limits });
     }
     fn refuse_request(&mut self, request: &RequestId, retry_after: Micros) {
         self.0.post_step(request, Step::Refuse { retry_after });
--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -59,7 +59,7 @@
     handle.submit(request.to_incoming(deadline));
     loop {
         match handle.next_step(deadline).await {
-            Some(Step::Attempt { node, timeout }) => {
+            Some(Step::Attempt { node, limits }) => {
                 handle.attempt_started(&node);
                 dispatcher.catch_up_after_stall().await;
                 // The client may have closed its connection right after the request, or while the request was held.
@@ -70,7 +70,13 @@
                 let sent_at = dispatcher.clock.now();
                 let is_fetch = dispatcher.is_origin(&node);
                 let chosen_at = Instant::now();
-                let attempt = Attempt { request: request.clone(), node: node.clone(), timeout, chosen_at };
+                let attempt = Attempt {
+                    request: request.clone(),
+                    node: node.clone(),
+                    timeout: limits.timeout,
+                    send_by: limits.send_by.map(|at| dispatcher.clock.instant_at(at).into_std()),
+                    chosen_at,
+                };
                 let result = attempt_service.clone().oneshot(attempt).await;
                 let latency = dispatcher.clock.now() - sent_at;
                 // A request that the origin refused has cost it work, too.
--- a/crates/flintwell/src/requests/shadow.rs
+++ b/crates/flintwell/src/requests/shadow.rs
@@ -6,8 +6,8 @@
 
 use crate::log_line;
 use flintwell_core::interface::{
-    AttemptOutcome, AttemptStatus, Host, IncomingRequest, ListUpdateKind, Micros, NodeEntry, NodeId,
-    RequestId, Settings,
+    AttemptLimits, AttemptOutcome, AttemptStatus, Host, IncomingRequest, ListUpdateKind, Micros, NodeEntry,
+    NodeId, RequestId, Settings,
 };
 use flintwell_core::policy::Policy;
 use std::cell::{Cell, RefCell};
@@ -71,7 +71,7 @@
 }
 
 impl Host for DecisionRecorder {
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, _: Micros) {
+    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, _: AttemptLimits) {
         self.record(request, Decision::Attempt(node.clone()));
     }
     fn refuse_request(&mut self, request: &RequestId, _: Micros) {
--- a/crates/flintwell/tests/process/long_writes.rs
+++ b/crates/flintwell/tests/process/long_writes.rs
@@ -305,6 +305,9 @@
 
 /// Time for which nodes drop repeats of a keyed write.
 const WINDOW: Duration = Duration::from_millis(1_000);
+/// Tolerance of the window on sockets.
+const WINDOW_TOLERANCE: Duration = Duration::from_millis(50);
+
 /// A configuration whose keyed class has `WINDOW` and time for a repeat after it.
 fn config_with_window(origin: &SlowOrigin) -> Value {
     let mut config = config_with(origin, 64);
@@ -314,6 +317,59 @@
     config
 }
 
+/// A keyed write whose first attempt is reset after it has run, and whose repeat is read at this pace, called with the
+/// bytes read. Returns the status of the answer, and how long after the first attempt's last byte the repeat's came.
+fn repeat_long_write(bytes: usize, pace: impl Fn(usize) + Send + Sync + 'static) -> (u16, Option<Duration>) {
+    let pace_of_repeat = move |number, read, _| {
+        if number > 0 {
+            pace(read);
+        }
+    };
+    let origin = SlowOrigin::start(pace_of_repeat, |number| number > 0);
+    let proxy = Proxy::start(&config_with_window(&origin));
+    let write = LongWrite { timeout: Duration::from_secs(5), ..LongWrite::new("write", bytes) };
+    let status = write.run(&proxy).status_in_time();
+    // For what may still be on its way to the origin.
+    thread::sleep(2 * WINDOW);
+    let arrivals = origin.arrivals();
+    let first = arrivals[0].whole_at.expect("the first attempt came whole");
+    let repeat = arrivals.get(1).and_then(|repeat| repeat.whole_at);
+    (status, repeat.map(|repeat| repeat - first))
+}
+
+/// A repeat that was read slowly ended after the window, and the write ran twice.
+#[test]
+fn repeat_of_a_long_write_does_not_end_after_the_window_for_repeats() {
+    let bytes = 8 << 20;
+    // Evenly over 1.5 s; and fast, with a pause over the window's end before the last part of the body.
+    let begun_at = Mutex::new(None);
+    let evenly = move |read: usize| {
+        let begun_at = *begun_at.lock().expect("not poisoned").get_or_insert_with(Instant::now);
+        let due = begun_at + Duration::from_millis(1_500).mul_f64(read as f64 / bytes as f64);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+    };
+    let pause = pausing_after(bytes - (1 << 20), 2 * WINDOW);
+    let with_a_pause = move |read| pause(1, read, bytes);
+    for (status, repeat_after) in [repeat_long_write(bytes, evenly), repeat_long_write(bytes, with_a_pause)] {
+        let in_window = repeat_after.is_none_or(|after| after <= WINDOW + WINDOW_TOLERANCE);
+        assert!(in_window, "the repeat's last byte came {repeat_after:?} after the first attempt's");
+        assert_ne!(status, 200);
+    }
+}
+
+/// A repeat that is through within the window has to be served.
+#[test]
+fn repeat_of_a_long_write_within_the_window_is_served() {
+    let bytes = 8 << 20;
+    let (status, repeat_after) = repeat_long_write(bytes, move |read| {
+        if read > 0 && read % (1 << 20) == 0 {
+            thread::sleep(Duration::from_millis(50));
+        }
+    });
+    assert_eq!(status, 200);
+    assert!(repeat_after.is_some());
+}
+
 /// The kernel went on sending what was queued of a write that had been given up, and the node ran it after the answer.
 #[test]
 fn write_that_was_given_up_does_not_come_whole_to_its_node_afterwards() {
