A refusal of a keyed request that may have run advises no retry after the window

Callers saw: 503 at up to the last moment of the window for repeats, with Retry-After of up to 0.5 s; a client that keeps to it comes when the nodes have forgotten the first attempt, and its write runs twice. Cause: may_refuse asked for the window now, not at the time of the retry that the refusal advises. Why this works: the advised delay is added; a request whose retry would come too late fails, which promises nothing.

--- a/crates/flintwell-core/src/policy.rs
+++ b/crates/flintwell-core/src/policy.rs
@@ -881,14 +881,20 @@
         Some(first.sent_at + class.dedup_window)
     }
 
-    /// Whether the request may be refused, that is, whether a retry by the client does no harm.
+    /// The delay that a refusal advises, which some clients keep.
+    fn retry_after(&self) -> Micros {
+        RETRY_AFTER.min(self.settings.max_retry_after)
+    }
+
+    /// Whether the request may be refused, that is, whether a retry by the client does no harm. A retry of a keyed request
+    /// that may have run must come while nodes recognize it.
     fn may_refuse(&self, now: Micros, request: &Request) -> bool {
         let class = &self.settings.classes[request.class];
         match request.may_have_run() {
             Some(first) if class.idempotency == Idempotency::Keyed => {
                 class.dedup_scope == DedupScope::All
                     && first.status.is_some()
-                    && self.dedup_window_end(request).is_some_and(|end| now < end)
+                    && self.dedup_window_end(request).is_some_and(|end| now + self.retry_after() < end)
             }
             Some(_) => class.idempotency == Idempotency::Safe,
             None => true,
@@ -939,7 +945,7 @@
     fn give_up(&mut self, now: Micros, id: &RequestId) {
         let Some(request) = self.requests.get(id) else { return };
         match self.may_refuse(now, request) {
-            true => self.host.refuse_request(id, RETRY_AFTER.min(self.settings.max_retry_after)),
+            true => self.host.refuse_request(id, self.retry_after()),
             false => self.host.fail_request(id),
         }
         self.finish(now, id, false, 0);
--- a/crates/flintwell-core/tests/policy/harness.rs
+++ b/crates/flintwell-core/tests/policy/harness.rs
@@ -106,14 +106,15 @@
         let attempt = AttemptRecord { node: node.clone(), started_at: now, times_out_at, status: None };
         state.requests.get_mut(id).expect("known request").attempts.push(attempt);
     }
-    fn refuse_request(&mut self, id: &RequestId, _: Micros) {
+    fn refuse_request(&mut self, id: &RequestId, retry_after: Micros) {
         let mut state = self.0.borrow_mut();
         let request = &state.requests[id];
         if let Some(first) = HostState::first_possible_run(request) {
             let class = &request.class;
             let deduplicated_everywhere =
                 class.idempotency == Idempotency::Keyed && class.dedup_scope == DedupScope::All;
-            let safe_to_retry = deduplicated_everywhere && state.now < first.started_at + class.dedup_window;
+            let retry_at = state.now + retry_after;
+            let safe_to_retry = deduplicated_everywhere && retry_at < first.started_at + class.dedup_window;
             assert!(
                 class.idempotency == Idempotency::Safe || safe_to_retry,
                 "{id} refused though it may have run"
--- a/crates/flintwell-core/tests/policy/scenarios.rs
+++ b/crates/flintwell-core/tests/policy/scenarios.rs
@@ -1054,3 +1054,19 @@
         assert_eq!(harness.current_node(&id).is_some(), is_retried, "dial time-out {dial_timeout} us");
     }
 }
+
+/// A refusal near the end of the window advised a retry after it, which nodes would not recognize as a repeat.
+#[test]
+fn a_keyed_request_that_may_have_run_is_refused_only_if_the_advised_retry_falls_within_the_dedup_window() {
+    for (max_retry_after, answer) in
+        [(0, "refused"), (100 * MS, "refused"), (100 * MS + 1, "failed"), (SECOND, "failed")]
+    {
+        let mut harness =
+            Harness::new(Settings { max_retry_after, max_attempts: 1, cache_aside: false, ..settings() }, 5);
+        let id = harness.start_request(1, "k", false);
+        harness.advance(200 * MS - 1);
+        harness.end_attempt(&id, AttemptStatus::Error);
+        // The window is 300 ms from the first attempt.
+        assert_eq!(harness.final_answer(&id), Some(answer), "retry after {max_retry_after} us");
+    }
+}
--- a/crates/flintwell/tests/process/long_writes.rs
+++ b/crates/flintwell/tests/process/long_writes.rs
@@ -353,7 +353,7 @@
     for (status, repeat_after) in [repeat_long_write(bytes, evenly), repeat_long_write(bytes, with_a_pause)] {
         let in_window = repeat_after.is_none_or(|after| after <= WINDOW + WINDOW_TOLERANCE);
         assert!(in_window, "the repeat's last byte came {repeat_after:?} after the first attempt's");
-        assert_ne!(status, 200);
+        assert_eq!(status, 502, "no refusal, which would invite a retry after the window");
     }
 }
 
