--- a/crates/flintwell/tests/process/long_writes.rs
+++ b/crates/flintwell/tests/process/long_writes.rs
@@ -5,6 +5,7 @@
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -193,14 +194,16 @@
 
     /// Writes the request in a single go.
     fn send(&self, client: &mut Client) -> std::io::Result<()> {
+        static REQUESTS: AtomicUsize = AtomicUsize::new(0);
+        let id = REQUESTS.fetch_add(1, Ordering::Relaxed);
         let LongWrite { class, bytes, framing, timeout } = self;
         let header = match framing {
             Framing::Length => format!("Content-Length: {bytes}"),
             Framing::Chunks => "Transfer-Encoding: chunked".to_owned(),
         };
         client.send(&format!(
-            "PUT /api/key HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: long\r\nX-Class: {class}\r\nX-Deadline: {}\r\n\
-             Idempotency-Key: m-long\r\n{header}\r\n\r\n",
+            "PUT /api/key HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Deadline: {}\r\n\
+             Idempotency-Key: m-{id}\r\n{header}\r\n\r\n",
             timeout.as_secs_f64()
         ));
         write_body(client.0.get_mut(), *bytes, *framing)
@@ -396,3 +399,59 @@
     thread::sleep(Duration::from_millis(1_800));
     assert!(origin.arrivals()[0].whole_at.is_none(), "{:?}", origin.arrivals());
 }
+
+/// A node that took a long write piece by piece held its client beyond its time, and ran the write after the answer.
+#[test]
+fn long_write_to_a_node_that_reads_at_a_trickle_is_answered_in_time_and_does_not_run_later() {
+    let (bytes, slow_bytes) = (8 << 20, 768 << 10);
+    for (slow_from, memory_mb) in [(0, 64), (bytes / 2, 64), (bytes - slow_bytes, 64), (0, 8), (bytes / 2, 8)]
+    {
+        let trickle = move |_, read: usize, _| {
+            if (slow_from..slow_from + slow_bytes).contains(&read) {
+                thread::sleep(Duration::from_millis(150));
+            }
+        };
+        let origin = SlowOrigin::start(trickle, |_| true);
+        let proxy = Proxy::start(&config_with(&origin, memory_mb));
+        let status = LongWrite::new("once", bytes).run(&proxy).status_in_time();
+        thread::sleep(Duration::from_millis(1_800));
+        let has_run = origin.arrivals()[0].whole_at.is_some();
+        let case = format!("slow from byte {slow_from}, {memory_mb} MB");
+        assert_eq!(status, if has_run { 200 } else { 503 }, "{case}");
+        // With little memory the client is still sending while the node is slow, and its time does not run.
+        assert!(!has_run || memory_mb < 64, "{case}");
+    }
+}
+
+/// Clients whose writes share the buffer memory, some of them while the process stops, were not answered in time.
+#[test]
+fn clients_of_several_streamed_writes_are_answered_in_time_during_a_shutdown() {
+    let origin = SlowOrigin::start(
+        |_, read, _| thread::sleep(Duration::from_secs(if read >= 2 << 20 { 30 } else { 0 })),
+        |_| true,
+    );
+    let proxy = Proxy::start(&config_with(&origin, 32));
+    thread::scope(|scope| {
+        for framing in [Framing::Length, Framing::Chunks, Framing::Length, Framing::Chunks] {
+            let proxy = &proxy;
+            scope.spawn(move || {
+                let write = LongWrite { framing, ..LongWrite::new("once", 12 << 20) };
+                assert_ne!(write.run(proxy).status_in_time(), 200, "{framing:?}");
+            });
+        }
+        thread::sleep(Duration::from_millis(300));
+        proxy.signal("-TERM");
+    });
+}
+
+/// A node that took nothing more of a write could hold its client, which can't finish, for more than eleven minutes.
+#[test]
+fn node_that_takes_nothing_more_of_a_streamed_write_is_given_up() {
+    let origin = SlowOrigin::start(pausing_after(1 << 20, Duration::from_secs(60)), |_| true);
+    let proxy = Proxy::start(&config_with(&origin, 4));
+    let begun_at = Instant::now();
+    let outcome = LongWrite::new("once", 32 << 20).run(&proxy);
+    assert_eq!(outcome.status_in_time(), 503);
+    let took = outcome.answered_at - begun_at;
+    assert!(took > Duration::from_secs(9) && took < Duration::from_secs(12), "{took:?}");
+}
