Lock the file of a test's successor before other processes can see it

Cause: fake_successor created the state file under its final name and locked it afterwards. A process that looked for siblings in between (three tasks do so every 50 to 200 ms) found it unlocked, took it for that of a dead process and removed it; it then saw no successor and logged nothing about one.

Change: the test locks the file under another name and renames it, as Succession::open does for the same reason. The assertions are as they were.

Seen: old_process_finishes_its_responses_when_the_successor_does_not_take_over failed once in a run of the whole package beside a release build (0 lines about the successor where 1 is expected).

--- a/crates/flintwell/tests/process/handover.rs
+++ b/crates/flintwell/tests/process/handover.rs
@@ -265,13 +265,16 @@
 }
 
 /// Files that make the old process detect a successor: a locked state file, which must stay open, and the path of
-/// the successor's handover socket.
+/// the successor's handover socket. The file is locked under another name first, as a process does it: one that is found
+/// unlocked is taken for that of a dead process and removed.
 fn fake_successor(directory: &Path) -> (std::fs::File, PathBuf) {
-    let name = "process-09999999999999999999-1";
-    let mut file = std::fs::File::create(directory.join("flintwell-n0").join(name)).expect("write file");
+    let (name, directory) = ("process-09999999999999999999-1", directory.join("flintwell-n0"));
+    let temporary = directory.join("lock-1");
+    let mut file = std::fs::File::create(&temporary).expect("write file");
     file.try_lock().expect("lock file");
+    std::fs::rename(temporary, directory.join(name)).expect("rename file");
     file.write_all(b"serves").expect("write");
-    (file, directory.join("flintwell-n0").join(format!("takes-{name}")))
+    (file, directory.join(format!("takes-{name}")))
 }
 
 #[test]
