Ids of open requests hold at every process of the proxy

Cause: only ids of unsafe requests that may have run left their process. A request that was taken and waits was in no shared record; one that is not unsafe never was.

Change: an open id of any effect is a lock on one byte of a file that the processes share (new dependency nix, for locks of byte ranges). The kernel ends it with its process. Records of unsafe requests are made before the first send and removed as soon as one is known not to have run; what can't be recorded or compared is refused while another process runs. A client that left one process with nothing run is served at the other. The hash of an id is named (siphasher) and gives the values of earlier builds. The logic left the dispatcher for requests/request_ids.rs.

--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -30,6 +30,8 @@
 use crate::process::store::Store;
 use crate::process::succession::Succession;
 use crate::requests::dispatcher::Dispatcher;
+use crate::requests::open_ids::OpenIds;
+use crate::requests::request_ids::RequestIds;
 use crate::requests::service::ClientService;
 use crate::requests::shadow::ShadowPolicy;
 use crate::requests::shared_ids::{self, SharedIds};
@@ -79,12 +81,20 @@
 }
 
 /// Waits until the other processes of this proxy have shared the ids of unsafe requests that they have sent. A client that
-/// left one of them may come with the same request as soon as this process serves.
-async fn wait_for_shared_ids(store: &Store, succession: &Succession) {
+/// left one of them may come with the same request as soon as this process serves. Returns those that have not in time.
+async fn wait_for_shared_ids(store: &Store, succession: &Succession) -> Vec<String> {
     let started_at = Instant::now();
-    while !succession.sibling_names().iter().all(|process| shared_ids::is_sharing(store, process)) {
+    loop {
+        let mut unshared = succession.sibling_names();
+        unshared.retain(|process| !shared_ids::is_sharing(store, process));
+        if unshared.is_empty() {
+            return unshared;
+        }
         if started_at.elapsed() > SHARED_IDS_TIMEOUT {
-            return log_line!("another process does not share the ids of its requests");
+            log_line!(
+                "another process does not share the ids of its requests: unsafe ones are refused until it does or ends"
+            );
+            return unshared;
         }
         sleep(SHARED_IDS_POLL_INTERVAL).await;
     }
@@ -181,19 +191,25 @@
         config.shadow_settings.map(|settings| Rc::new(ShadowPolicy::new(clock.now(), settings, seed)));
     let succession = Succession::open(store.clone(), clock.now());
     let succession = Rc::new(succession.map_err(|e| format!("directory for temporary files: {e}"))?);
-    wait_for_shared_ids(&store, &succession).await;
+    let open_ids = OpenIds::open(&store).map_err(|e| format!("directory for temporary files: {e}"))?;
+    let request_ids = Rc::new(RequestIds::new(
+        move || clock.now(),
+        open_ids,
+        SharedIds::new(store.clone(), succession.name().to_owned()),
+        wait_for_shared_ids(&store, &succession).await,
+    ));
     let dispatcher = Rc::new(Dispatcher::new(
         clock,
         config.settings,
         seed,
         pool.clone(),
         shadow.clone(),
-        SharedIds::new(store.clone(), succession.name().to_owned()),
+        request_ids.clone(),
     ));
     if let Some(shadow) = shadow {
         spawn_local(restart_on_panic("shadow policy", async move || shadow.log_counts().await));
     }
-    let list_store = ListStore::new(store.clone());
+    let (id_store, list_store) = (store.clone(), ListStore::new(store.clone()));
     let (source, initial_list, age) = match list_store.load() {
         Some(StoredList { list, age }) => (ListSource::Folder, list, age),
         None => (ListSource::Configuration, config.initial_nodes, None),
@@ -263,9 +279,10 @@
         pool.connection_permits(),
         metrics.clone(),
     ));
-    let (id_dispatcher, id_succession) = (dispatcher.clone(), succession.clone());
+    let id_succession = succession.clone();
     spawn_local(restart_on_panic("shared ids", async move || {
-        id_dispatcher.share_ids(|| id_succession.has_sibling()).await
+        let is_sharing = |process: &str| shared_ids::is_sharing(&id_store, process);
+        request_ids.follow_siblings(|| id_succession.sibling_names(), is_sharing).await
     }));
     let (sampled_memory, memory_succession) = (memory.clone(), succession.clone());
     spawn_local(restart_on_panic("memory monitor", async move || {
--- a/crates/flintwell/src/requests/dispatcher.rs
+++ b/crates/flintwell/src/requests/dispatcher.rs
@@ -6,27 +6,24 @@
 use crate::log_line;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, StallDetector};
+use crate::requests::request_ids::{ClaimError, IdClaim, RequestIds};
 use crate::requests::shadow::{Decision, ShadowPolicy};
-use crate::requests::shared_ids::SharedIds;
-use crate::requests::used_ids::{IdHash, RETENTION_US, UsedIds};
 use flintwell_core::interface::{
-    AttemptLimits, AttemptOutcome, AttemptStatus, EndReason, Host, IncomingRequest, ListUpdateKind, Micros,
-    NodeEntry, NodeId, RequestId, Settings,
+    AttemptLimits, AttemptOutcome, AttemptStatus, EndReason, Host, Idempotency, IncomingRequest,
+    ListUpdateKind, Micros, NodeEntry, NodeId, RequestId, Settings,
 };
 use flintwell_core::policy::Policy;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep_until, timeout_at};
 
 const TIMER_INTERVAL_US: Micros = 1_000; // between timer calls; the resolution of the runtime's timers
 // Runtime turns in which sockets, connections and the list are read; enough for a long list, too.
 const CATCH_UP_TURNS: usize = 16;
-const SIBLING_POLL_INTERVAL: Duration = Duration::from_millis(50); // another process takes longer to serve
 const IDLE_SLEEP_US: Micros = 3_600_000_000; // sleep while no timer is set; setting one ends it
 
 /// The next step of a request.
@@ -108,9 +105,7 @@
     pub stall_detector: StallDetector,
     policy: RefCell<Policy<PolicyHost>>,
     host_state: Rc<HostState>,
-    /// Unsafe requests that may have run.
-    used_ids: RefCell<UsedIds>,
-    shared_ids: SharedIds,
+    request_ids: Rc<RequestIds>,
 }
 
 impl Dispatcher {
@@ -121,7 +116,7 @@
         seed: u64,
         pool: Rc<Pool>,
         shadow: Option<Rc<ShadowPolicy>>,
-        shared_ids: SharedIds,
+        request_ids: Rc<RequestIds>,
     ) -> Self {
         let host_state = Rc::new(HostState {
             mailboxes: RefCell::default(),
@@ -131,14 +126,7 @@
             shadow,
         });
         let policy = RefCell::new(Policy::new(clock.now(), settings, seed, PolicyHost(host_state.clone())));
-        Dispatcher {
-            clock,
-            stall_detector: StallDetector::new(clock),
-            policy,
-            host_state,
-            used_ids: RefCell::default(),
-            shared_ids,
-        }
+        Dispatcher { clock, stall_detector: StallDetector::new(clock), policy, host_state, request_ids }
     }
 
     /// Calls the policy, and then the shadow policy with `shadow_call`. False if the policy panicked.
@@ -210,43 +198,6 @@
         self.policy.borrow().count_avoided_caches(self.clock.now())
     }
 
-    /// Claims the id of a request that must not run twice; returns whether it has not run before, here or in another process
-    /// of this proxy.
-    pub fn claim_id(&self, id: IdHash) -> bool {
-        !self.used_ids.borrow_mut().contains(id, self.clock.now()) && self.shared_ids.claim(id)
-    }
-
-    /// Records that a request that must not run twice may run from now on.
-    pub fn mark_used(&self, id: IdHash) {
-        self.used_ids.borrow_mut().insert(id, self.clock.now());
-    }
-
-    /// Records that a request has not run after all.
-    pub fn mark_unused(&self, id: IdHash) {
-        self.used_ids.borrow_mut().remove(id);
-    }
-
-    /// Gives up the claim to an id if its request has not run.
-    pub fn release_unused_id(&self, id: IdHash) {
-        if !self.used_ids.borrow_mut().contains(id, self.clock.now()) {
-            self.shared_ids.release(id);
-        }
-    }
-
-    /// Shares ids with other processes of this proxy while there are any, and for as long afterwards as a request may come
-    /// again. Never returns.
-    pub async fn share_ids(&self, has_sibling: impl Fn() -> bool) {
-        let mut shared_until = self.clock.now();
-        loop {
-            let now = self.clock.now();
-            if has_sibling() {
-                shared_until = now + RETENTION_US;
-            }
-            self.shared_ids.set_shared(now < shared_until, || self.used_ids.borrow().all());
-            sleep(SIBLING_POLL_INTERVAL).await;
-        }
-    }
-
     /// A handle for a request; none while another request with the same id is in flight.
     pub fn open_handle(self: &Rc<Self>, id: RequestId) -> Option<RequestHandle> {
         let mailbox = Rc::new(Mailbox::default());
@@ -259,6 +210,7 @@
             dispatcher: self.clone(),
             id,
             mailbox,
+            id_claim: None,
             attempt_count: 0,
             in_flight_node: None,
             is_finished: true,
@@ -302,12 +254,30 @@
     dispatcher: Rc<Dispatcher>,
     id: RequestId,
     mailbox: Rc<Mailbox>,
+    /// Keeps the id open until the request is over.
+    id_claim: Option<IdClaim>,
     attempt_count: usize,
     in_flight_node: Option<NodeId>,
     is_finished: bool,
 }
 
 impl RequestHandle {
+    /// Claims the request's id among the processes of this proxy.
+    pub async fn claim_id(&mut self, idempotency: Idempotency) -> Result<(), ClaimError> {
+        self.id_claim = Some(self.dispatcher.request_ids.claim(&self.id, idempotency).await?);
+        Ok(())
+    }
+
+    /// Records that the request may run from now on, before it is sent. It must not be sent if that fails.
+    pub fn mark_used(&self) -> Result<(), ClaimError> {
+        self.id_claim.as_ref().map_or(Ok(()), IdClaim::mark_used)
+    }
+
+    /// Records that the request has not run after all.
+    pub fn mark_unused(&self) {
+        self.id_claim.as_ref().inspect(|claim| claim.mark_unused());
+    }
+
     /// Passes the request to the policy.
     pub fn submit(&mut self, request: IncomingRequest) {
         self.is_finished = false;
--- a/crates/flintwell/src/requests/dispatcher/tests.rs
+++ b/crates/flintwell/src/requests/dispatcher/tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use crate::process::store::Store;
+use crate::requests::open_ids::OpenIds;
 use crate::requests::shadow::ShadowCounts;
+use crate::requests::shared_ids::SharedIds;
 use flintwell_core::interface::NodeState;
 
 fn dispatcher() -> Rc<Dispatcher> {
@@ -17,13 +19,17 @@
             flintwell_settings::decode(&flintwell_settings::merge_settings(conf, other)).expect("settings");
         Rc::new(ShadowPolicy::new(0, other, 1))
     });
+    let (clock, store) = (Clock::start(), Store::open(None, "n").expect("no directory"));
+    let open_ids = OpenIds::open(&store).expect("no file");
+    let request_ids =
+        RequestIds::new(move || clock.now(), open_ids, SharedIds::new(store, String::new()), Vec::new());
     Rc::new(Dispatcher::new(
-        Clock::start(),
+        clock,
         settings,
         1,
         Pool::new(1, 8_192, 1, 1, Rc::default()),
         shadow,
-        SharedIds::new(Store::open(None, "n").expect("no directory"), String::new()),
+        Rc::new(request_ids),
     ))
 }
 
--- a/crates/flintwell/src/requests/mod.rs
+++ b/crates/flintwell/src/requests/mod.rs
@@ -2,7 +2,10 @@
 //! them.
 
 pub mod dispatcher;
+pub mod id_hash;
+pub mod open_ids;
 pub mod request;
+pub mod request_ids;
 pub mod service;
 pub mod shadow;
 pub mod shared_ids;
--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -12,7 +12,7 @@
 use crate::process::clock::to_duration;
 use crate::process::counter::increment;
 use crate::requests::dispatcher::{Dispatcher, RequestHandle, Step};
-use crate::requests::used_ids::IdHash;
+use crate::requests::request_ids::{ClaimError, UNDETERMINED_RETRY_AFTER_US};
 use flintwell_core::interface::{AttemptStatus, Idempotency, Micros, NodeId};
 use std::rc::Rc;
 use std::time::Instant;
@@ -35,9 +35,10 @@
     let Some(mut handle) = dispatcher.open_handle(request.id.clone()) else {
         return ClientResponse::DuplicateId;
     };
-    let unsafe_id = (request.idempotency == Idempotency::Unsafe).then(|| IdHash::of(&request.id));
-    if !unsafe_id.is_none_or(|id| dispatcher.claim_id(id)) {
-        return ClientResponse::DuplicateId;
+    if let Err(error) = handle.claim_id(request.idempotency).await {
+        let response = without_claim(&request, error);
+        response.outcome().inspect(|&outcome| metrics.record_outcome(class, outcome));
+        return response;
     }
     // A request that arrives while the process is stalled is read late. Measured from the read, its response time would
     // look too short and its deadline would be too late.
@@ -46,7 +47,6 @@
     lease.wait_until_first_valid(to_duration(list_wait.min(MAX_LIST_WAIT_US))).await;
     let mut response =
         run(request, received_at, &mut handle, dispatcher, attempt_service, budgets, metrics).await;
-    unsafe_id.into_iter().for_each(|id| dispatcher.release_unused_id(id));
     metrics.record_latency(dispatcher.clock.now() - received_at);
     response.outcome().inspect(|&outcome| metrics.record_outcome(class, outcome));
     if let ClientResponse::Served(ResponseBody::Streamed(body)) = &mut response {
@@ -55,6 +55,17 @@
     response
 }
 
+/// Response to a request that must not be sent under its id.
+fn without_claim(request: &ClientRequest, error: ClaimError) -> ClientResponse {
+    match error {
+        ClaimError::Duplicate => ClientResponse::DuplicateId,
+        ClaimError::Undetermined => {
+            log_request_line!("request {} is refused: it may have run at another process", request.id);
+            ClientResponse::Refused { retry_after: UNDETERMINED_RETRY_AFTER_US }
+        }
+    }
+}
+
 async fn run(
     request: ClientRequest,
     received_at: Micros,
@@ -88,8 +99,9 @@
                     chosen_at,
                 };
                 // Before it is sent: this task ends with its client's connection.
-                let unsafe_id = (request.idempotency == Idempotency::Unsafe).then(|| IdHash::of(&request.id));
-                unsafe_id.into_iter().for_each(|id| dispatcher.mark_used(id));
+                if let Err(error) = handle.mark_used() {
+                    return without_claim(&request, error);
+                }
                 let result = attempt_service.clone().oneshot(attempt).await;
                 let latency = dispatcher.clock.now() - sent_at;
                 // A request that the origin refused has cost it work, too.
@@ -99,10 +111,9 @@
                 }
                 let status = result.as_ref().map_or_else(ExchangeError::status, |response| response.status);
                 metrics.record_attempt_end(status);
-                unsafe_id
-                    .into_iter()
-                    .filter(|_| status.never_ran())
-                    .for_each(|id| dispatcher.mark_unused(id));
+                if status.never_ran() {
+                    handle.mark_unused();
+                }
                 if status != AttemptStatus::Served {
                     log_attempt_end(&request, &node, status, latency, result.as_ref().err());
                 }
--- a/crates/flintwell/src/requests/used_ids.rs
+++ b/crates/flintwell/src/requests/used_ids.rs
@@ -3,47 +3,37 @@
 //! A client that left without a response may send its request again under the same id. The request itself is no longer known
 //! then, and an unsafe one would take effect twice.
 
-use flintwell_core::interface::{Micros, RequestId};
-use std::collections::{HashMap, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use crate::requests::id_hash::IdHash;
+use flintwell_core::interface::Micros;
+use std::collections::{BTreeSet, HashMap};
 
 const MAX_IDS: usize = 4_096; // the oldest are forgotten beyond
 /// How long an id is remembered; far longer than a client waits.
 pub const RETENTION_US: Micros = 60_000_000;
 
-/// Stands for an id, which may be as long as a request head.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct IdHash(pub u64);
-
-impl IdHash {
-    /// The hash of this id; the same in each process of one version.
-    pub fn of(id: &RequestId) -> Self {
-        let mut hasher = DefaultHasher::new();
-        id.hash(&mut hasher);
-        IdHash(hasher.finish())
-    }
-}
-
 /// Recently used ids.
 #[derive(Default)]
 pub struct UsedIds {
     /// When each id was used last.
     used_at: HashMap<IdHash, Micros>,
     /// Ids in the order in which they were used.
-    order: VecDeque<(Micros, IdHash)>,
+    order: BTreeSet<(Micros, IdHash)>,
 }
 
 impl UsedIds {
     /// Records that the request with this id may run from `now` on.
     pub fn insert(&mut self, id: IdHash, now: Micros) {
+        self.remove(id);
         self.forget_old(now);
         self.used_at.insert(id, now);
-        self.order.push_back((now, id));
+        self.order.insert((now, id));
     }
 
     /// Records that the request has not run after all.
     pub fn remove(&mut self, id: IdHash) {
-        self.used_at.remove(&id);
+        if let Some(at) = self.used_at.remove(&id) {
+            self.order.remove(&(at, id));
+        }
     }
 
     /// Whether a request with this id may have run.
@@ -58,13 +48,10 @@
     }
 
     fn forget_old(&mut self, now: Micros) {
-        while let Some((at, id)) = self.order.front()
+        while let Some(&(at, id)) = self.order.first()
             && (self.order.len() >= MAX_IDS || now - at > RETENTION_US)
         {
-            if self.used_at.get(id) == Some(at) {
-                self.used_at.remove(id);
-            }
-            self.order.pop_front();
+            self.remove(id);
         }
     }
 }
--- a/crates/flintwell/tests/process/main.rs
+++ b/crates/flintwell/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod overload;
 mod peer_messaging;
 mod plans;
+mod request_ids;
 mod rollout;
 mod second_responses;
 mod sockets;
