The id of a response that was handed over stays open at the successor

What callers saw: after an upgrade a client that sent the id of a request whose response was still being passed on was served.

The claim of an id ends with its process's handle, and a hand-over carried the sockets and the state of the response, not the id.

Change: the offer names the hash of the id; the field is optional, so that both older and newer processes take the other's offers. The successor refuses the id from before it says "taken" until the response ends, and locks it for further processes as soon as the predecessor has released it.

--- a/crates/flintwell/src/nodes/response_body.rs
+++ b/crates/flintwell/src/nodes/response_body.rs
@@ -11,6 +11,7 @@
 use crate::nodes::response_transfer::Upstream;
 use crate::process::clock::{IdleTimer, PEER_IDLE_TIMEOUT};
 use crate::requests::dispatcher::RequestHandle;
+use crate::requests::id_hash::IdHash;
 use bytes::Bytes;
 use flintwell_core::interface::NodeId;
 use http_body_util::Full;
@@ -64,11 +65,16 @@
     metrics: Rc<Metrics>,
     /// Index of the request class.
     pub class_index: usize,
-    _handle: RequestHandle,
+    handle: RequestHandle,
     _in_flight: InFlightGuard,
 }
 
 impl RequestGuard {
+    /// Stands for the id of the request.
+    pub fn id_hash(&self) -> Option<IdHash> {
+        self.handle.id_hash()
+    }
+
     /// Counts the outcome of the request.
     pub fn record_end(self, is_complete: bool) {
         self.metrics.record_outcome(self.class_index, RequestOutcome::of_relay(is_complete));
@@ -346,7 +352,7 @@
         self.stream.request.replace(Some(RequestGuard {
             metrics,
             class_index,
-            _handle: handle,
+            handle,
             _in_flight: in_flight,
         }));
     }
--- a/crates/flintwell/src/process/handover.rs
+++ b/crates/flintwell/src/process/handover.rs
@@ -10,6 +10,8 @@
 use crate::memory::plan::MemoryBudgets;
 use crate::nodes::response_body::RequestGuard;
 use crate::nodes::response_transfer::{CHUNK_BYTES, ResponseTransfer};
+use crate::requests::id_hash::IdHash;
+use crate::requests::request_ids::{RequestIds, TakenOverId};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::cell::Cell;
@@ -58,6 +60,9 @@
     /// Length of the file with data that comes after those bytes; 0 if there is no file.
     #[serde(rename = "kept")]
     buffered_bytes: u64,
+    /// Stands for the request's id, if the request has not ended; missing from older versions.
+    #[serde(rename = "id", default)]
+    id_hash: Option<IdHash>,
 }
 
 /// Connection of the old process to its successor.
@@ -115,7 +120,7 @@
     /// Offers a response to the successor; returns whether the successor owns it now. A successor that has not replied
     /// may have accepted the response all the same, and if both processes wrote, bytes would be sent twice. So this
     /// waits without a timeout until the successor replies or the connection ends.
-    async fn offer(&self, transfer: &ResponseTransfer, class_index: Option<usize>) -> bool {
+    async fn offer(&self, transfer: &ResponseTransfer, request: Option<&RequestGuard>) -> bool {
         let mut socket = loop {
             match timeout(REPLY_TIMEOUT, self.socket.lock()).await {
                 Ok(socket) => break socket,
@@ -125,7 +130,7 @@
             }
         };
         let Some(connection) = socket.as_ref() else { return false };
-        let result = send_offer(connection, transfer, class_index).await;
+        let result = send_offer(connection, transfer, request).await;
         self.last_reply_at.set(Instant::now());
         match result {
             Ok(accepted) => accepted,
@@ -141,14 +146,15 @@
 async fn send_offer(
     socket: &UnixSeqpacket,
     transfer: &ResponseTransfer,
-    class_index: Option<usize>,
+    request: Option<&RequestGuard>,
 ) -> io::Result<bool> {
     let decoder = transfer.upstream.as_ref().map(|upstream| upstream.1);
     let unwritten_bytes = transfer.unwritten.len();
     let buffered_bytes = transfer.buffered.as_ref().map_or(0, |buffered| buffered.1);
     let ResponseTransfer { chunked, is_end_pending, max_remaining_bytes, .. } = *transfer;
     let header = Header {
-        class_index,
+        class_index: request.map(|request| request.class_index),
+        id_hash: request.and_then(RequestGuard::id_hash),
         decoder,
         chunked,
         is_end_pending,
@@ -182,7 +188,7 @@
 
 /// Hands a response over to the successor. If the successor does not accept it, this process relays the rest itself.
 pub async fn hand_over(successor: &Successor, transfer: ResponseTransfer, request: Option<RequestGuard>) {
-    if successor.offer(&transfer, request.as_ref().map(|request| request.class_index)).await {
+    if successor.offer(&transfer, request.as_ref()).await {
         return;
     }
     let completed = transfer.run().await;
@@ -195,6 +201,7 @@
     pub limits: [Arc<Semaphore>; 2],
     pub budgets: MemoryBudgets,
     pub metrics: Rc<Metrics>,
+    pub request_ids: Rc<RequestIds>,
 }
 
 impl HandoverReceiver {
@@ -307,14 +314,20 @@
             max_remaining_bytes: header.max_remaining_bytes,
         };
         let charges = [transfer_charge, file_charge];
-        Ok(AcceptedResponse { transfer, class_index: header.class_index, permits, charges })
+        // The predecessor releases the id when it reads that the response is taken.
+        let id = header.id_hash.map(|id| self.request_ids.take_over(id));
+        Ok(AcceptedResponse { transfer, class_index: header.class_index, id, permits, charges })
     }
 
-    fn resume(&self, AcceptedResponse { transfer, class_index, permits, charges }: AcceptedResponse) {
+    fn resume(&self, response: AcceptedResponse) {
+        let AcceptedResponse { transfer, class_index, id, permits, charges } = response;
         let metrics = self.metrics.clone();
         spawn_local(async move {
             let _in_flight = class_index.map(|_| metrics.start_request());
-            let completed = transfer.run().await;
+            let completed = tokio::select! {
+                completed = transfer.run() => completed,
+                () = keep_open(id.as_ref()) => false,
+            };
             class_index
                 .into_iter()
                 .for_each(|index| metrics.record_outcome(index, RequestOutcome::of_relay(completed)));
@@ -323,10 +336,19 @@
     }
 }
 
+/// Keeps the id open for the other processes; never completes.
+async fn keep_open(id: Option<&TakenOverId>) {
+    if let Some(id) = id {
+        id.claim().await;
+    }
+    std::future::pending().await
+}
+
 /// A response received from the predecessor.
 struct AcceptedResponse {
     transfer: ResponseTransfer,
     class_index: Option<usize>,
+    id: Option<TakenOverId>,
     permits: Vec<OwnedSemaphorePermit>,
     charges: [MemoryCharge; 2],
 }
--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -279,10 +279,10 @@
         pool.connection_permits(),
         metrics.clone(),
     ));
-    let id_succession = succession.clone();
+    let (followed_ids, id_succession) = (request_ids.clone(), succession.clone());
     spawn_local(restart_on_panic("shared ids", async move || {
         let is_sharing = |process: &str| shared_ids::is_sharing(&id_store, process);
-        request_ids.follow_siblings(|| id_succession.sibling_names(), is_sharing).await
+        followed_ids.follow_siblings(|| id_succession.sibling_names(), is_sharing).await
     }));
     let (sampled_memory, memory_succession) = (memory.clone(), succession.clone());
     spawn_local(restart_on_panic("memory monitor", async move || {
@@ -362,6 +362,7 @@
                     limits: [client_permits.clone(), pool.connection_permits()],
                     budgets: budgets.clone(),
                     metrics: metrics.clone(),
+                    request_ids: request_ids.clone(),
                 };
                 spawn_local(restart_on_panic("handover", async move || receiver.run(&mut listener).await));
             }
--- a/crates/flintwell/src/requests/dispatcher.rs
+++ b/crates/flintwell/src/requests/dispatcher.rs
@@ -6,6 +6,7 @@
 use crate::log_line;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, StallDetector};
+use crate::requests::id_hash::IdHash;
 use crate::requests::request_ids::{ClaimError, IdClaim, RequestIds};
 use crate::requests::shadow::{Decision, ShadowPolicy};
 use flintwell_core::interface::{
@@ -268,6 +269,11 @@
         Ok(())
     }
 
+    /// Stands for the request's id, once it is claimed.
+    pub fn id_hash(&self) -> Option<IdHash> {
+        self.id_claim.as_ref().map(IdClaim::id)
+    }
+
     /// Records that the request may run from now on, before it is sent. It must not be sent if that fails.
     pub fn mark_used(&self) -> Result<(), ClaimError> {
         self.id_claim.as_ref().map_or(Ok(()), IdClaim::mark_used)
--- a/crates/flintwell/src/requests/request_ids.rs
+++ b/crates/flintwell/src/requests/request_ids.rs
@@ -10,6 +10,7 @@
 use crate::requests::used_ids::{RETENTION_US, UsedIds};
 use flintwell_core::interface::{Idempotency, Micros, RequestId};
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -37,6 +38,8 @@
     /// Unsafe requests that may have run at this process.
     used: RefCell<UsedIds>,
     shared: SharedIds,
+    /// Requests whose response was taken over from a predecessor.
+    taken_over: RefCell<HashSet<IdHash>>,
     /// Processes that were there before this one and have not shared yet what they have used.
     unshared_predecessors: RefCell<Vec<String>>,
     has_sibling: Cell<bool>,
@@ -60,6 +63,7 @@
             open,
             used: RefCell::default(),
             shared,
+            taken_over: RefCell::default(),
             has_sibling: Cell::new(!unshared_predecessors.is_empty()),
             unshared_predecessors: RefCell::new(unshared_predecessors),
             shared_until: Cell::new(shared_until),
@@ -119,6 +123,9 @@
     }
 
     fn try_claim(self: &Rc<Self>, id: IdHash, idempotency: Idempotency) -> Result<IdClaim, ClaimFailure> {
+        if self.taken_over.borrow().contains(&id) {
+            return Err(ClaimFailure::Final(ClaimError::Duplicate));
+        }
         let is_unsafe = idempotency == Idempotency::Unsafe;
         match self.open.try_claim(id) {
             Ok(true) => {}
@@ -138,6 +145,12 @@
         Ok(claim)
     }
 
+    /// Keeps the id of a request open whose response was taken over from a predecessor.
+    pub fn take_over(self: &Rc<Self>, id: IdHash) -> TakenOverId {
+        self.taken_over.borrow_mut().insert(id);
+        TakenOverId { ids: self.clone(), id, is_claimed: Cell::new(false) }
+    }
+
     /// Whether an unsafe request with this id has certainly not run.
     fn check_unused(&self, id: IdHash) -> Result<(), ClaimError> {
         if self.used.borrow_mut().contains(id, (self.now)()) {
@@ -179,6 +192,12 @@
         }
     }
 
+    fn release(&self, id: IdHash) {
+        if let Err(error) = self.open.release(id) {
+            log_line!("an id stays open for the other processes: {error}");
+        }
+    }
+
     fn mark_unused(&self, id: IdHash) {
         self.used.borrow_mut().remove(id);
         self.shared.forget(id);
@@ -200,6 +219,10 @@
 }
 
 impl IdClaim {
+    pub fn id(&self) -> IdHash {
+        self.id
+    }
+
     /// Records that the request may run from now on, before it is sent. It must not be sent if that fails.
     pub fn mark_used(&self) -> Result<(), ClaimError> {
         if self.is_unsafe {
@@ -222,8 +245,32 @@
         if self.may_have_run.get() {
             self.ids.renew_used(self.id);
         }
-        if let Err(error) = self.ids.open.release(self.id) {
-            log_line!("an id stays open for the other processes: {error}");
+        self.ids.release(self.id);
+    }
+}
+
+/// The id of a request whose response was taken over; open at this process until it is dropped.
+pub struct TakenOverId {
+    ids: Rc<RequestIds>,
+    id: IdHash,
+    is_claimed: Cell<bool>,
+}
+
+impl TakenOverId {
+    /// Marks the id as open for the other processes, once the predecessor has released it.
+    pub async fn claim(&self) {
+        while !self.ids.open.try_claim(self.id).unwrap_or(false) {
+            sleep(CLAIM_RETRY_INTERVAL).await;
+        }
+        self.is_claimed.set(true);
+    }
+}
+
+impl Drop for TakenOverId {
+    fn drop(&mut self) {
+        self.ids.taken_over.borrow_mut().remove(&self.id);
+        if self.is_claimed.get() {
+            self.ids.release(self.id);
         }
     }
 }
--- a/crates/flintwell/tests/process/handover.rs
+++ b/crates/flintwell/tests/process/handover.rs
@@ -194,6 +194,24 @@
     );
 }
 
+/// Guards against serving another client under the id of a request whose response was handed over.
+#[test]
+fn id_of_a_response_that_was_handed_over_stays_open_at_the_successor() {
+    let (cache, directory) = (long_response_server(), TempDirectory::new());
+    let (config, socket) = (settings(&cache), TcpListener::bind("127.0.0.1:0").expect("bind listener"));
+    let addr = socket.local_addr().expect("local address");
+    let (mut old, _) = served_by(&socket, &config, &directory.0);
+    let slow = thread::spawn(move || read_once(addr, "sized", Duration::from_millis(35)));
+    thread::sleep(Duration::from_millis(400));
+    let (_new, _) = served_by(&socket, &config, &directory.0);
+    old.signal("-TERM");
+    assert!(old.child.wait().expect("exit status").success());
+    assert!(!slow.is_finished(), "its client still reads");
+    assert_eq!(read_once(addr, "sized", Duration::ZERO).0, 409);
+    assert_eq!(check_bodies(vec![slow]), 1);
+    assert_eq!(read_once(addr, "sized", Duration::ZERO).0, 200, "it is not open any more");
+}
+
 #[test]
 fn slow_reader_does_not_keep_the_connection_to_its_node_busy() {
     let cache = long_response_server();
