A process that stops leaves the clients' socket to an older one that serves it

Cause: only a younger process counted as serving the socket. A new process that stops went on accepting for 0.55 s and then took what was left in the backlog, until none came for 5 ms. A socket that others hold has no last connection: the loop went on, and closed at once what it accepted after the last idle connections were closed. It also kept the process alive for as long as clients came. A process that was itself stopping counted as a successor.

Change: a process tells the others that it stops, before it looks who serves the socket. With an older process there it accepts nothing more and keeps the usual time for connections it has; a successor still gets requests and responses, an older one does not.

--- a/crates/flintwell/src/process/serve.rs
+++ b/crates/flintwell/src/process/serve.rs
@@ -25,7 +25,7 @@
 use crate::process::log;
 use crate::process::reload;
 use crate::process::reloadable::Reloadable;
-use crate::process::shutdown;
+use crate::process::shutdown::{self, SocketServer};
 use crate::process::socket_activation;
 use crate::process::store::Store;
 use crate::process::succession::Succession;
@@ -397,7 +397,11 @@
         accept::accept_connections(&listener, &accept_permits, &service).await
     }));
     let max_request_time = || to_duration(current_network.get().max_deadline);
-    let has_successor = || is_inherited && succession.has_successor();
+    let socket_server = || {
+        // First, so that of two processes that stop at the same time at least one sees that the other stops.
+        succession.mark_stopping();
+        if is_inherited { succession.socket_server() } else { SocketServer::None }
+    };
     let successor = async || handover::connect(succession.successor_socket().as_deref()).await;
     let result = controller
         .run(
@@ -405,7 +409,7 @@
             client_permits,
             plan.client_connections as u32,
             max_request_time,
-            has_successor,
+            socket_server,
             successor,
         )
         .await;
--- a/crates/flintwell/src/process/shutdown.rs
+++ b/crates/flintwell/src/process/shutdown.rs
@@ -1,7 +1,7 @@
 //! Graceful shutdown in phases. First, every response closes its connection while new clients are still accepted. Then
 //! idle connections are closed while the listener stays open, so that a request that crosses the close can be sent
-//! again on a new connection. Then the listener is closed, and the remaining requests are completed. With a successor
-//! on the same listening socket, the listener and idle connections are closed at once.
+//! again on a new connection. Then the listener is closed, and the remaining requests are completed. If another process
+//! serves the same listening socket, the listener is closed at once; with a successor the idle connections, too.
 
 use crate::log_line;
 use crate::process::handover::Successor;
@@ -32,11 +32,22 @@
     AllClosed,
 }
 
+/// Which other process serves the clients' listening socket when this one shuts down.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SocketServer {
+    #[default]
+    None,
+    /// An older process, beside which this one was started.
+    Older,
+    /// A younger process, which takes over responses and requests.
+    Successor,
+}
+
 /// Observer of the shutdown; cheap to clone.
 #[derive(Clone)]
 pub struct Shutdown {
     phases: watch::Receiver<Phase>,
-    has_successor: Rc<Cell<bool>>,
+    socket_server: Rc<Cell<SocketServer>>,
     successor: Rc<OnceCell<Rc<Successor>>>,
 }
 
@@ -48,14 +59,18 @@
     /// Waits until the listener has to be closed.
     pub async fn listener_closed(&self) {
         self.wait_for_phase(Phase::Draining).await;
-        if !self.has_successor.get() {
+        if !self.is_socket_served() {
             self.wait_for_phase(Phase::ListenerClosed).await;
         }
     }
-    /// Whether a successor serves the same listening socket. Connections still in the accept queue then belong to the
-    /// successor: one that is accepted or inspected here during shutdown would be lost with this process.
+    /// Whether another process serves the same listening socket. Connections still in the accept queue then belong to
+    /// that process: one that is accepted or inspected here during shutdown would be lost with this process.
+    pub fn is_socket_served(&self) -> bool {
+        self.socket_server.get() != SocketServer::None
+    }
+    /// Whether a successor serves the same listening socket.
     pub fn has_successor(&self) -> bool {
-        self.has_successor.get()
+        self.socket_server.get() == SocketServer::Successor
     }
     /// Completes when a connection accepted now has to be closed if idle. A request that crosses this close is sent
     /// again on a new connection and is lost if the listener is already closed. So connections accepted late, while
@@ -83,31 +98,31 @@
 /// Runs the shutdown and publishes its phases.
 pub struct ShutdownController {
     phases: watch::Sender<Phase>,
-    has_successor: Rc<Cell<bool>>,
+    socket_server: Rc<Cell<SocketServer>>,
     successor: Rc<OnceCell<Rc<Successor>>>,
 }
 
 /// Creates the controller of the shutdown and its observer.
 pub fn channel() -> (ShutdownController, Shutdown) {
     let (sender, receiver) = watch::channel(Phase::Serving);
-    let (has_successor, successor) = (Rc::<Cell<bool>>::default(), Rc::default());
+    let (socket_server, successor) = (Rc::<Cell<SocketServer>>::default(), Rc::default());
     let shutdown =
-        Shutdown { phases: receiver, has_successor: has_successor.clone(), successor: Rc::clone(&successor) };
-    (ShutdownController { phases: sender, has_successor, successor }, shutdown)
+        Shutdown { phases: receiver, socket_server: socket_server.clone(), successor: Rc::clone(&successor) };
+    (ShutdownController { phases: sender, socket_server, successor }, shutdown)
 }
 
 impl ShutdownController {
     /// Waits for SIGTERM or SIGINT, then runs the shutdown to its end. `accepting` completes once the listener is
     /// closed, client connections hold permits of `client_permits` (`connections` in total), and no request is in
-    /// flight for longer than `max_request_time`. `has_successor` is evaluated at the signal; if it is true,
-    /// `successor` connects to the process that takes over streamed responses.
+    /// flight for longer than `max_request_time`. `socket_server` is evaluated at the signal; if there is a successor,
+    /// `successor` connects to it, so that it takes over streamed responses.
     pub async fn run(
         self,
         accepting: JoinHandle<()>,
         client_permits: Arc<Semaphore>,
         connections: u32,
         max_request_time: impl FnOnce() -> Duration,
-        has_successor: impl FnOnce() -> bool,
+        socket_server: impl FnOnce() -> SocketServer,
         successor: impl AsyncFnOnce() -> Option<Successor>,
     ) -> std::io::Result<()> {
         let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
@@ -115,20 +130,26 @@
             _ = term.recv() => {}
             _ = int.recv() => {}
         }
-        if has_successor() {
+        let socket_server = socket_server();
+        if socket_server == SocketServer::Successor {
             // Shutdown begins only after this: a request refused while we still accept connections would be sent to us
             // again.
             successor().await.map(|successor| self.successor.set(Rc::new(successor)));
-            self.has_successor.set(true);
         }
+        self.socket_server.set(socket_server);
         log_line!(
             "shutting down{}",
-            if self.has_successor.get() { "; a successor serves the socket" } else { "" }
+            match socket_server {
+                SocketServer::None => "",
+                SocketServer::Older => "; an older process serves the socket",
+                SocketServer::Successor => "; a successor serves the socket",
+            }
         );
         self.phases.send_replace(Phase::Draining);
         // With a successor no connections are accepted from here on, since a long response to a later request would be
         // cut off by SIGKILL; the successor accepts them instead.
-        let accept_grace = if self.has_successor.get() { Duration::ZERO } else { ACCEPT_GRACE };
+        let accept_grace =
+            if socket_server == SocketServer::Successor { Duration::ZERO } else { ACCEPT_GRACE };
         for (wait, phase) in [
             (accept_grace, Phase::IdleClosed),
             (RECONNECT_GRACE, Phase::ListenerClosed),
--- a/crates/flintwell/src/process/succession.rs
+++ b/crates/flintwell/src/process/succession.rs
@@ -2,7 +2,7 @@
 //! serves requests.
 
 use crate::log_line;
-use crate::process::shutdown::Shutdown;
+use crate::process::shutdown::{Shutdown, SocketServer};
 use crate::process::store::Store;
 use std::fs::{File, TryLockError};
 use std::io::{self, Read, Seek, Write};
@@ -52,6 +52,13 @@
         lock.write_all(b"serves")
     }
 
+    /// Records that this process stops: an older one must not take it for its successor.
+    pub fn mark_stopping(&self) {
+        if let Some(Err(error)) = self.lock.as_ref().map(|lock| lock.set_len(0)) {
+            log_line!("the other processes are not told that this one stops: {error}");
+        }
+    }
+
     /// Whether another process of this proxy is running.
     pub fn has_sibling(&self) -> bool {
         self.siblings().next().is_some()
@@ -63,6 +70,16 @@
         self.successors().next().is_some()
     }
 
+    /// Which other process serves requests.
+    pub fn socket_server(&self) -> SocketServer {
+        let is_served = self.siblings().any(|(_, serves)| serves);
+        match (self.has_successor(), is_served) {
+            (true, _) => SocketServer::Successor,
+            (false, true) => SocketServer::Older,
+            (false, false) => SocketServer::None,
+        }
+    }
+
     fn successors(&self) -> impl Iterator<Item = String> {
         let younger = self.siblings().filter(|(file, serves)| *file > self.file && *serves);
         younger.map(|(file, _)| file)
--- a/crates/flintwell/src/process/succession/tests.rs
+++ b/crates/flintwell/src/process/succession/tests.rs
@@ -33,3 +33,18 @@
     }
     std::fs::remove_dir_all(&parent).expect("remove directory");
 }
+
+#[tokio::test]
+async fn process_that_stops_is_no_successor() {
+    let parent = tempfile::tempdir().expect("create directory");
+    let store = Store::open(Some(parent.path()), "n").expect("open store");
+    let old = Succession::open(store.clone(), 1).expect("open old entry");
+    let new = Succession::open(store, 2).expect("open new entry");
+    assert_eq!((old.socket_server(), new.socket_server()), (SocketServer::None, SocketServer::None));
+    old.mark_serving().expect("mark as serving");
+    new.mark_serving().expect("mark as serving");
+    assert_eq!((old.socket_server(), new.socket_server()), (SocketServer::Successor, SocketServer::Older));
+    new.mark_stopping();
+    assert_eq!(old.socket_server(), SocketServer::None);
+    assert!(!old.has_successor() && old.has_sibling());
+}
--- a/crates/flintwell/tests/process/operations.rs
+++ b/crates/flintwell/tests/process/operations.rs
@@ -490,3 +490,40 @@
     assert_eq!(origin.requests().len(), 2, "one run of each request");
     assert_eq!(Client::connect(addr).request("once", "after").status(), 200);
 }
+
+/// Guards against a process that goes on taking clients from a socket that another one serves, and turns them away or keeps
+/// them from it for as long as they come.
+#[test]
+fn process_that_stops_leaves_the_socket_to_an_older_one() {
+    let cache = StubServer::start(|_, _| Action::Respond(200, "value"));
+    let (config, directory) = (config(cache.addr, not_found_server().addr), TempDirectory::new());
+    let socket = TcpListener::bind("127.0.0.1:0").expect("bind listener");
+    let addr = socket.local_addr().expect("local address");
+    let (_old, _) = served_by(&socket, &config, &directory.0);
+    let (new, _) = served_by(&socket, &config, &directory.0);
+    let is_ended = Arc::<AtomicBool>::default();
+    let clients: Vec<_> = (0..20)
+        .map(|n| {
+            let is_ended = is_ended.clone();
+            thread::spawn(move || {
+                let ids = (0..).take_while(|_| !is_ended.load(Ordering::Relaxed));
+                let unanswered = ids.filter(|k| {
+                    let mut client = Client::connect(addr);
+                    thread::sleep(Duration::from_millis(10));
+                    client.send_request("read", &format!("new-{n}-{k}"));
+                    client.read_response().is_none()
+                });
+                unanswered.count()
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    new.signal("-TERM");
+    let new = std::cell::RefCell::new(new);
+    let has_exited = || new.borrow_mut().child.try_wait().expect("query state").is_some();
+    wait_until("it stops although clients come", has_exited);
+    thread::sleep(Duration::from_millis(300));
+    is_ended.store(true, Ordering::Relaxed);
+    let unanswered: usize = clients.into_iter().map(|client| client.join().expect("client thread")).sum();
+    assert_eq!(unanswered, 0, "requests without an answer");
+}
