Limits are divided by the number of processes of a proxy, however many there are

Cause: each process reserved half of its connections and buffers as soon as there was another one, so three processes together could take one and a half times the limits. Under a supervisor three overlap where a process takes long to stop.

Change: with n processes each keeps 1/n; with two nothing changes.

--- a/crates/flintwell/src/process/succession.rs
+++ b/crates/flintwell/src/process/succession.rs
@@ -15,7 +15,6 @@
 const PROCESS_PREFIX: &str = "process-"; // followed by the start time, so that names sort by age
 const HANDOVER_PREFIX: &str = "takes-"; // prefix of the handover socket, followed by the name of the process's file
 const POLL_INTERVAL: Duration = Duration::from_millis(50); // few requests arrive in between
-const MAX_PROCESSES: usize = 2; // a version and the next
 
 /// Entry of this process among the running processes of the proxy.
 pub struct Succession {
@@ -59,11 +58,6 @@
         }
     }
 
-    /// Whether another process of this proxy is running.
-    pub fn has_sibling(&self) -> bool {
-        self.siblings().next().is_some()
-    }
-
     /// Whether a younger process serves requests. If the listener were left to a process that has been killed, no
     /// process would accept connections; a dead process is recognised because its lock is released.
     pub fn has_successor(&self) -> bool {
@@ -135,36 +129,22 @@
         })
     }
 
-    /// Reserves half of the permits of each semaphore in `limits` while another process runs, because the limit on
-    /// descriptors applies to both processes together. Never returns.
+    /// Reserves permits of each semaphore in `limits` for the other processes while there are any, because the limit on
+    /// descriptors applies to all processes together. Never returns.
     pub async fn share_limits(&self, limits: &[(Arc<Semaphore>, usize)], shutdown: &Shutdown) {
         let mut reserved: Vec<OwnedSemaphorePermit> = Vec::new();
-        let mut is_sharing = false;
+        let mut sibling_count = 0;
         // Reserved permits look like open connections and would delay shutdown, so they are released when it begins.
         while self.lock.is_some() && !shutdown.has_begun() {
-            if is_sharing != self.has_sibling() {
-                is_sharing = !is_sharing;
-                log_line!(
-                    "{}",
-                    if is_sharing {
-                        "another process of this proxy runs: connection limits halved"
-                    } else {
-                        "no other process runs: connection limits restored"
-                    }
-                );
+            let siblings_now = self.siblings().count();
+            if sibling_count != siblings_now {
+                sibling_count = siblings_now;
+                log_shared_limits(sibling_count);
                 reserved.clear();
             }
-            if is_sharing {
-                for (semaphore, total) in limits {
-                    let half = total / MAX_PROCESSES;
-                    let of_semaphore =
-                        |permit: &&OwnedSemaphorePermit| Arc::ptr_eq(permit.semaphore(), semaphore);
-                    let held: usize =
-                        reserved.iter().filter(of_semaphore).map(OwnedSemaphorePermit::num_permits).sum();
-                    let more = (half - held.min(half)).min(semaphore.available_permits());
-                    let more = u32::try_from(more).unwrap_or(0);
-                    reserved.extend(semaphore.clone().try_acquire_many_owned(more).ok().filter(|_| more > 0));
-                }
+            for (semaphore, total) in limits {
+                let share = total * sibling_count / (sibling_count + 1);
+                reserve(&mut reserved, semaphore, share);
             }
             sleep(POLL_INTERVAL).await;
         }
@@ -173,6 +153,25 @@
     }
 }
 
+fn log_shared_limits(sibling_count: usize) {
+    match sibling_count {
+        0 => log_line!("no other process runs: connection limits restored"),
+        1 => log_line!("another process of this proxy runs: connection limits halved"),
+        more => {
+            log_line!("{more} other processes of this proxy run: connection limits divided by {}", more + 1)
+        }
+    }
+}
+
+/// Takes what is available until `count` permits of this semaphore are reserved.
+fn reserve(reserved: &mut Vec<OwnedSemaphorePermit>, semaphore: &Arc<Semaphore>, count: usize) {
+    let of_semaphore = |permit: &&OwnedSemaphorePermit| Arc::ptr_eq(permit.semaphore(), semaphore);
+    let held: usize = reserved.iter().filter(of_semaphore).map(OwnedSemaphorePermit::num_permits).sum();
+    let more = count.saturating_sub(held).min(semaphore.available_permits());
+    let more = u32::try_from(more).unwrap_or(0);
+    reserved.extend(semaphore.clone().try_acquire_many_owned(more).ok().filter(|_| more > 0));
+}
+
 impl Drop for Succession {
     fn drop(&mut self) {
         self.store.remove(&self.file);
