A supervised process that is given up is asked to stop, not killed

Cause: a process was killed by the drop of its value.

Change: the life of a process is a typed state machine without I/O or clock (lifecycle.rs), whose only ends are a request to stop and a kill 75 s later. Processes beyond the two configured management addresses get a free port, so one on its way out holds up neither the next rollout nor a restore; apply and again no longer wait for it. At its own end the supervisor asks the process that starts first, starts nothing more, and closes the clients' socket. supervisor.rs is parted into lifecycle, child, control and supervisor.

--- a/crates/flintwell-supervise/src/lib.rs
+++ b/crates/flintwell-supervise/src/lib.rs
@@ -2,12 +2,30 @@
 //! next to the running one and takes over once it is ready; if it does not become ready, the running one stays.
 //! Versions are rolled out with the same messages as settings, so one rollout mechanism serves both.
 
+mod child;
+mod control;
 mod http;
+mod lifecycle;
 mod supervisor;
 
+use crate::supervisor::{POLL_INTERVAL, Supervisor, check_change};
+use flintwell_rollout::member::Member;
+use flintwell_state::RecordStore;
 use serde::Deserialize;
+use serde_json::json;
+use socket2::{Domain, Socket, Type};
+use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+/// Connections of clients that wait until a process accepts them.
+const CLIENT_BACKLOG: i32 = 1_024;
 
 /// The configuration, a TOML file.
 #[derive(Clone, Debug, Deserialize)]
@@ -21,7 +39,8 @@
     pub listen: SocketAddr,
     /// Address for the rollout API of the supervisor.
     pub control: SocketAddr,
-    /// Management addresses that successive processes alternate between, since two run during a takeover.
+    /// Management addresses that successive processes alternate between, since two run during a takeover. While more
+    /// processes overlap, further ones take free ports beside the first address.
     pub management: [SocketAddr; 2],
     /// The initial version of the program.
     pub program: PathBuf,
@@ -65,5 +84,47 @@
     let settings = Settings::read(file)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| error.to_string())?;
-    tokio::task::LocalSet::new().block_on(&runtime, supervisor::run(settings))
+    tokio::task::LocalSet::new().block_on(&runtime, run(settings))
+}
+
+async fn run(settings: Settings) -> Result<(), String> {
+    let signals =
+        signal(SignalKind::terminate()).and_then(|term| Ok((term, signal(SignalKind::interrupt())?)));
+    let (mut terminate, mut interrupt) = signals.map_err(|error| format!("signals: {error}"))?;
+    let socket = listen(settings.listen).map_err(|error| format!("listen {}: {error}", settings.listen))?;
+    let control = TcpListener::bind(settings.control).await;
+    let control = control.map_err(|error| format!("control {}: {error}", settings.control))?;
+    let store = RecordStore::open(&settings.state)?;
+    let configured = json!({"program": settings.program});
+    check_change(&configured, &configured)?;
+    let stored = store.read().map_err(|why| log(&why)).ok().flatten();
+    let member = Member::new(&settings.fleet, stored, &configured);
+    store.write(member.record()).map_err(|error| format!("state {}: {error}", settings.state.display()))?;
+    let supervisor = Rc::new(RefCell::new(Supervisor::new(settings, socket, store, member)));
+    let called = supervisor.clone();
+    http::serve(control, move |call| control::handle_call(called.clone(), call));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            () = sleep(POLL_INTERVAL) => {}
+        }
+        supervisor::poll(&supervisor).await;
+    }
+    log("stopping");
+    supervisor::end(&supervisor).await;
+    Ok(())
+}
+
+/// Listens for clients.
+fn listen(address: SocketAddr) -> io::Result<OwnedFd> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(CLIENT_BACKLOG)?;
+    Ok(OwnedFd::from(socket))
+}
+
+fn log(message: &str) {
+    eprintln!("flintwell: supervise: {message}");
 }
--- a/crates/flintwell/tests/process/supervise.rs
+++ b/crates/flintwell/tests/process/supervise.rs
@@ -1,19 +1,35 @@
 //! Upgrades under a supervisor: a new version starts beside the old one, takes over, and is rolled back if it fails.
 
 use crate::rollout::{PROGRAM, RolloutCommand, TestFleet, status};
-use crate::support::wait_until;
+use crate::support::{Client, post, wait_until};
 use flintwell_rig::fleet::FleetSpec;
+use flintwell_rollout::wire::{EpochRequest, PROTOCOL_VERSION, hash};
 use serde_json::json;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// A program that serves clients and never says that it is ready, since it opens another management address.
+const NEVER_READY: &str = "export EDGE_MGMT=127.0.0.1:0\nexec $REAL \"$@\"";
+/// A program that is not ready and does not stop on SIGTERM; it ends with its supervisor.
+const UNSTOPPABLE: &str = "trap '' TERM\nwhile kill -0 $PPID 2>/dev/null; do sleep 0.1; done";
 
 /// A supervised fleet in one zone.
 fn supervised_fleet(proxies: usize) -> TestFleet {
+    fleet_with_cache_time(proxies, FleetSpec::default().caches.time_ms)
+}
+
+/// A supervised fleet whose caches take this long, so that a process always has requests in hand.
+fn fleet_with_cache_time(proxies: usize, time_ms: f64) -> TestFleet {
     let mut shape = FleetSpec { proxies, zones: vec!["a".into()], supervised: true, ..FleetSpec::default() };
     shape.load.rate = 120.0;
+    shape.caches.time_ms = time_ms;
     let mut fleet = TestFleet::new(shape);
     // A process accepts clients shortly before its supervisor notices that it is ready.
     while start_times(&mut fleet).contains(&0) {
@@ -124,3 +140,133 @@
         "the supervisor stops on request, together with its proxy"
     );
 }
+
+/// Clients that send each request on a connection of its own, so that every process at the socket gets some.
+struct NewConnections {
+    is_ended: Arc<AtomicBool>,
+    clients: Vec<thread::JoinHandle<Vec<Instant>>>,
+}
+
+impl NewConnections {
+    const CLIENTS: usize = 30;
+
+    fn start(addr: SocketAddr) -> Self {
+        let is_ended = Arc::<AtomicBool>::default();
+        let clients = (0..Self::CLIENTS).map(|n| {
+            let is_ended = is_ended.clone();
+            thread::spawn(move || {
+                let ids = (0..).take_while(|_| !is_ended.load(Ordering::Relaxed));
+                let started = ids.map(|k| (Instant::now(), is_answered(addr, &format!("new-{n}-{k}"))));
+                started.filter(|(_, is_answered)| !is_answered).map(|(at, _)| at).collect()
+            })
+        });
+        NewConnections { clients: clients.collect(), is_ended }
+    }
+
+    /// Ends the clients: when the requests that got no answer were sent.
+    fn finish(self) -> Vec<Instant> {
+        self.is_ended.store(true, Ordering::Relaxed);
+        self.clients.into_iter().flat_map(|client| client.join().expect("client")).collect()
+    }
+}
+
+/// Whether a request on a new connection gets an answer.
+fn is_answered(addr: SocketAddr, id: &str) -> bool {
+    let Ok(stream) = TcpStream::connect(addr) else { return false };
+    stream.set_read_timeout(Some(Duration::from_secs(3))).expect("set read timeout");
+    let mut client = Client(BufReader::new(stream));
+    client.send_request("read", id);
+    client.read_response().is_some()
+}
+
+/// A version that serves and is never ready, its rollout while it starts, and clients.
+fn start_never_ready(fleet: &mut TestFleet) -> (PathBuf, RolloutCommand, NewConnections) {
+    let clients = NewConnections::start(fleet.rig().proxies[0].listen);
+    let program = version(fleet, "never-ready", NEVER_READY);
+    let plan = fleet.plan("to-never-ready", &json!({ "program": program }));
+    let rollout = RolloutCommand::start("start", &plan);
+    let process = &fleet.rig().proxies[0].process;
+    let serving = || process.log().iter().filter(|line| line.contains(" serves on ")).count();
+    wait_until("the version serves", || serving() == 2);
+    thread::sleep(Duration::from_millis(500));
+    (program, rollout, clients)
+}
+
+/// Guards against killing a process that has taken requests: one that is not ready in time.
+#[test]
+fn version_that_is_not_ready_in_time_answers_what_it_has_taken() {
+    let mut fleet = fleet_with_cache_time(1, 100.0);
+    let (_, rollout, clients) = start_never_ready(&mut fleet);
+    let (code, output) = rollout.finish();
+    assert!(code == 1 && output.contains("was not ready in"), "{output}");
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(clients.finish().len(), 0, "requests without an answer");
+    fleet.assert_no_violations();
+}
+
+/// Guards against the same where the change is taken back while its version starts.
+#[test]
+fn version_whose_change_is_reverted_while_it_starts_answers_what_it_has_taken() {
+    let mut fleet = fleet_with_cache_time(1, 100.0);
+    let (program, rollout, clients) = start_never_ready(&mut fleet);
+    drop(rollout);
+    let revert = EpochRequest {
+        protocol: PROTOCOL_VERSION,
+        fleet: "rig".into(),
+        epoch: 1,
+        hash: hash(&json!({ "program": program })),
+        confirm_timeout_ms: 0,
+        stage: 0,
+    };
+    let revert = serde_json::to_string(&revert).expect("JSON");
+    assert_eq!(post(fleet.rig().proxies[0].management, "/api/rollout/revert", &revert), 200);
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(clients.finish().len(), 0, "requests without an answer");
+    fleet.assert_no_violations();
+}
+
+/// Guards against the same where the version is ready and its change can't be recorded.
+#[test]
+fn version_whose_change_cannot_be_recorded_answers_what_it_has_taken() {
+    let mut fleet = fleet_with_cache_time(1, 100.0);
+    let clients = NewConnections::start(fleet.rig().proxies[0].listen);
+    let program = version(&fleet, "late", "sleep 1\nexec $REAL \"$@\"");
+    let plan = fleet.plan("to-late", &json!({ "program": program }));
+    let rollout = RolloutCommand::start("start", &plan);
+    let process = &fleet.rig().proxies[0].process;
+    let started = || process.log().iter().filter(|line| line.contains("supervise: started ")).count();
+    wait_until("the version is started", || started() == 2);
+    // The next record would be written to a file of this name first.
+    let blocked = format!("n0/supervised/new-{}", process.id().expect("process id"));
+    std::fs::create_dir(fleet.directory.path().join(blocked)).expect("create directory");
+    let (code, output) = rollout.finish();
+    assert!(code == 1 && output.contains("could not be recorded"), "{output}");
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(clients.finish().len(), 0, "requests without an answer");
+    fleet.assert_no_violations();
+}
+
+/// Guards against the same where the supervisor is stopped while a version starts.
+#[test]
+fn supervisor_that_is_stopped_lets_a_starting_version_answer_what_it_has_taken() {
+    let mut fleet = fleet_with_cache_time(1, 100.0);
+    let (_, rollout, clients) = start_never_ready(&mut fleet);
+    drop(rollout);
+    fleet.rig().mark_down(0);
+    let stopped_at = Instant::now();
+    assert!(fleet.rig().proxies[0].process.shut_down(), "the supervisor ends");
+    // Later ones may find nobody.
+    assert_eq!(clients.finish().into_iter().filter(|sent_at| *sent_at < stopped_at).count(), 0);
+    fleet.assert_no_violations();
+}
+
+/// Guards against a bad version on its way out that holds up the next rollout.
+#[test]
+fn rollout_succeeds_while_a_failed_version_has_not_stopped() {
+    let mut fleet = supervised_fleet(1);
+    let (code, output) = roll_out(&mut fleet, "unstoppable", UNSTOPPABLE);
+    assert!(code == 1 && output.contains("was not ready in"), "{output}");
+    let (code, output) = roll_out(&mut fleet, "good", "exec $REAL \"$@\"");
+    assert_eq!((code, fleet.epochs()), (0, vec![2]), "{output}");
+    fleet.assert_no_violations();
+}
