--- a/crates/flintwell/src/requests/dispatcher.rs
+++ b/crates/flintwell/src/requests/dispatcher.rs
@@ -1,112 +1,32 @@
-//! Adapter between requests and the policy (`flintwell-core`).
-//!
-//! Holds the policy and a handle for each request in flight. The policy's calls to its host only leave a step for
-//! a handle and never re-enter the policy.
+//! Adapter between requests and the policy (`flintwell-core`): holds the policy, and passes events and timers to it.
 
 use crate::log_line;
 use crate::nodes::pool::Pool;
 use crate::process::clock::{Clock, StallDetector};
-use crate::requests::id_hash::IdHash;
-use crate::requests::request_ids::{ClaimError, IdClaim, RequestIds};
-use crate::requests::shadow::{Decision, ShadowPolicy};
-use flintwell_core::interface::{
-    AttemptLimits, AttemptOutcome, AttemptStatus, EndReason, Host, Idempotency, IncomingRequest,
-    ListUpdateKind, Micros, NodeEntry, NodeId, RequestId, Settings,
-};
+use crate::requests::policy_host::{HostState, Mailbox, PolicyHost};
+use crate::requests::request_handle::RequestHandle;
+use crate::requests::request_ids::RequestIds;
+use crate::requests::shadow::ShadowPolicy;
+use flintwell_core::interface::{ListUpdateKind, Micros, NodeEntry, NodeId, RequestId, Settings};
 use flintwell_core::policy::Policy;
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::cell::RefCell;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::sleep_until;
 
 const TIMER_INTERVAL_US: Micros = 1_000; // between timer calls; the resolution of the runtime's timers
 // Runtime turns in which sockets, connections and the list are read; enough for a long list, too.
 const CATCH_UP_TURNS: usize = 16;
 const IDLE_SLEEP_US: Micros = 3_600_000_000; // sleep while no timer is set; setting one ends it
 
-/// The next step of a request.
-pub enum Step {
-    Attempt { node: NodeId, limits: AttemptLimits },
-    Refuse { retry_after: Micros },
-    Fail,
-}
-
-/// Holds the next step of a request until its handle takes it.
-#[derive(Default)]
-struct Mailbox {
-    step: RefCell<Option<Step>>,
-    notify: Notify,
-    /// Why the policy ends the request, once it does.
-    end_reason: Cell<Option<EndReason>>,
-}
-
-/// State that the policy's calls to its host act on.
-struct HostState {
-    mailboxes: RefCell<HashMap<RequestId, Rc<Mailbox>>>,
-    timers: RefCell<BTreeSet<(Micros, u64)>>,
-    timer_set: Notify,
-    pool: Rc<Pool>,
-    shadow: Option<Rc<ShadowPolicy>>,
-}
-
-impl HostState {
-    fn post_step(&self, request: &RequestId, step: Step) {
-        if let Some(shadow) = &self.shadow {
-            let decision = match &step {
-                Step::Attempt { node, .. } => Decision::Attempt(node.clone()),
-                Step::Refuse { .. } => Decision::Refuse,
-                Step::Fail => Decision::Fail,
-            };
-            shadow.record_actual(request, decision);
-        }
-        match self.mailboxes.borrow().get(request) {
-            Some(mailbox) => {
-                mailbox.step.replace(Some(step));
-                mailbox.notify.notify_one();
-            }
-            None => log_line!("policy returned a step for request {request}, which is not in flight"),
-        }
-    }
-}
-
-struct PolicyHost(Rc<HostState>);
-
-impl Host for PolicyHost {
-    fn start_attempt(&mut self, request: &RequestId, node: &NodeId, limits: AttemptLimits) {
-        self.0.post_step(request, Step::Attempt { node: node.clone(), limits });
-    }
-    fn refuse_request(&mut self, request: &RequestId, retry_after: Micros) {
-        self.0.post_step(request, Step::Refuse { retry_after });
-    }
-    fn fail_request(&mut self, request: &RequestId) {
-        self.0.post_step(request, Step::Fail);
-    }
-    fn explain_end(&mut self, request: &RequestId, reason: EndReason) {
-        if let Some(mailbox) = self.0.mailboxes.borrow().get(request) {
-            mailbox.end_reason.set(Some(reason));
-        }
-    }
-    fn close_idle(&mut self, node: &NodeId) {
-        self.0.pool.close_idle(node);
-    }
-    fn set_timer(&mut self, label: u64, at: Micros) {
-        self.0.timers.borrow_mut().insert((at, label));
-        self.0.timer_set.notify_one();
-    }
-    /// The list is watched from the process's start, so there is nothing to do.
-    fn subscribe_to_list(&mut self) {}
-}
-
 /// Owns the policy that decides on requests, and passes events to it.
 pub struct Dispatcher {
     pub clock: Clock,
     pub stall_detector: StallDetector,
     policy: RefCell<Policy<PolicyHost>>,
-    host_state: Rc<HostState>,
-    request_ids: Rc<RequestIds>,
+    pub(super) host_state: Rc<HostState>,
+    pub(super) request_ids: Rc<RequestIds>,
 }
 
 impl Dispatcher {
@@ -119,13 +39,7 @@
         shadow: Option<Rc<ShadowPolicy>>,
         request_ids: Rc<RequestIds>,
     ) -> Self {
-        let host_state = Rc::new(HostState {
-            mailboxes: RefCell::default(),
-            timers: RefCell::default(),
-            timer_set: Notify::new(),
-            pool,
-            shadow,
-        });
+        let host_state = Rc::new(HostState::new(pool, shadow));
         let policy = RefCell::new(Policy::new(clock.now(), settings, seed, PolicyHost(host_state.clone())));
         Dispatcher { clock, stall_detector: StallDetector::new(clock), policy, host_state, request_ids }
     }
@@ -133,7 +47,7 @@
     /// Calls the policy, and then the shadow policy with `shadow_call`. False if the policy panicked.
     ///
     /// A panic is caught: otherwise it would end the timer's or the list's task and lose every held request.
-    fn call_policy(
+    pub(super) fn call_policy(
         &self,
         call: impl FnOnce(&mut Policy<PolicyHost>),
         shadow_call: impl FnOnce(&ShadowPolicy),
@@ -207,15 +121,7 @@
             return None;
         }
         mailboxes.insert(id.clone(), mailbox.clone());
-        Some(RequestHandle {
-            dispatcher: self.clone(),
-            id,
-            mailbox,
-            id_claim: None,
-            attempt_count: 0,
-            in_flight_node: None,
-            is_finished: true,
-        })
+        Some(RequestHandle::new(self.clone(), id, mailbox))
     }
 
     /// Calls the policy at the times it requested, with a minimum interval between calls. Without it, a policy that
@@ -249,126 +155,5 @@
     }
 }
 
-/// A request's connection to the policy. If it is dropped before the request is over, it reports to the policy that
-/// the client is gone and that the attempt in flight, if any, was cancelled.
-pub struct RequestHandle {
-    dispatcher: Rc<Dispatcher>,
-    id: RequestId,
-    mailbox: Rc<Mailbox>,
-    /// Keeps the id open until the request is over.
-    id_claim: Option<IdClaim>,
-    attempt_count: usize,
-    in_flight_node: Option<NodeId>,
-    is_finished: bool,
-}
-
-impl RequestHandle {
-    /// Claims the request's id among the processes of this proxy.
-    pub async fn claim_id(&mut self, idempotency: Idempotency) -> Result<(), ClaimError> {
-        self.id_claim = Some(self.dispatcher.request_ids.claim(&self.id, idempotency).await?);
-        Ok(())
-    }
-
-    /// Stands for the request's id, once it is claimed.
-    pub fn id_hash(&self) -> Option<IdHash> {
-        self.id_claim.as_ref().map(IdClaim::id)
-    }
-
-    /// Records that the request may run from now on, before it is sent. It must not be sent if that fails.
-    pub fn mark_used(&self) -> Result<(), ClaimError> {
-        self.id_claim.as_ref().map_or(Ok(()), IdClaim::mark_used)
-    }
-
-    /// Records that the request has not run after all.
-    pub fn mark_unused(&self) {
-        self.id_claim.as_ref().inspect(|claim| claim.mark_unused());
-    }
-
-    /// Passes the request to the policy.
-    pub fn submit(&mut self, request: IncomingRequest) {
-        self.is_finished = false;
-        let now = self.dispatcher.clock.now();
-        let copy = self.dispatcher.host_state.shadow.as_ref().map(|shadow| {
-            shadow.expect_request(&self.id);
-            request.clone()
-        });
-        let shadow_call =
-            |shadow: &ShadowPolicy| copy.into_iter().for_each(|request| shadow.on_request(now, request));
-        self.fail_unless(self.dispatcher.call_policy(|policy| policy.on_request(now, request), shadow_call));
-    }
-
-    /// Fails the request if the policy could not decide on it.
-    fn fail_unless(&self, decided: bool) {
-        if !decided {
-            self.dispatcher.host_state.post_step(&self.id, Step::Fail);
-        }
-    }
-
-    /// Waits for the policy's next step; none if there is none by the deadline.
-    pub async fn next_step(&mut self, deadline: Micros) -> Option<Step> {
-        let step = async {
-            loop {
-                if let Some(step) = self.mailbox.step.take() {
-                    return step;
-                }
-                self.mailbox.notify.notified().await;
-            }
-        };
-        let step = timeout_at(self.dispatcher.clock.instant_at(deadline), step).await.ok()?;
-        self.is_finished = !matches!(step, Step::Attempt { .. });
-        Some(step)
-    }
-
-    /// Why the policy has ended the request, in words.
-    pub fn end_reason(&self) -> &'static str {
-        self.mailbox.end_reason.get().map_or("no decision by the policy", EndReason::as_str)
-    }
-
-    /// Records that the attempt at this node is in flight.
-    pub fn attempt_started(&mut self, node: &NodeId) {
-        self.in_flight_node = Some(node.clone());
-    }
-
-    /// Reports to the policy how the attempt in flight has ended, after `latency`.
-    pub fn attempt_ended(&mut self, status: AttemptStatus, latency: Micros, first_on_connection: bool) {
-        let Some(node) = self.in_flight_node.take() else { return };
-        self.is_finished |= status == AttemptStatus::Served;
-        let outcome = AttemptOutcome {
-            attempt_index: self.attempt_count,
-            status,
-            latency,
-            request_finished: self.is_finished,
-            first_on_connection,
-        };
-        self.attempt_count += 1;
-        let (now, id) = (self.dispatcher.clock.now(), &self.id);
-        let shadow_call = |shadow: &ShadowPolicy| shadow.on_attempt_outcome(now, id, &node, outcome);
-        self.fail_unless(
-            self.dispatcher
-                .call_policy(|policy| policy.on_attempt_outcome(now, id, &node, outcome), shadow_call),
-        );
-    }
-}
-
-impl Drop for RequestHandle {
-    fn drop(&mut self) {
-        let (now, id) = (self.dispatcher.clock.now(), self.id.clone());
-        // If the policy has chosen an attempt and the step was not taken yet, the policy would count that attempt as in
-        // flight permanently. So it is reported as cancelled below.
-        if let Some(Step::Attempt { node, .. }) = self.mailbox.step.take() {
-            self.in_flight_node.get_or_insert(node);
-        }
-        if !std::mem::replace(&mut self.is_finished, true) {
-            self.dispatcher.call_policy(
-                |policy| policy.on_request_closed(now, &id),
-                |shadow| shadow.on_request_closed(now, &id),
-            );
-        }
-        self.attempt_ended(AttemptStatus::Cancelled, 0, false);
-        self.dispatcher.host_state.shadow.as_deref().inspect(|shadow| shadow.finish_request(now, &id));
-        self.dispatcher.host_state.mailboxes.borrow_mut().remove(&self.id);
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/flintwell/src/requests/dispatcher/tests.rs
+++ b/crates/flintwell/src/requests/dispatcher/tests.rs
@@ -1,9 +1,10 @@
 use super::*;
 use crate::process::store::Store;
 use crate::requests::open_ids::OpenIds;
+use crate::requests::policy_host::Step;
 use crate::requests::shadow::ShadowCounts;
 use crate::requests::shared_ids::SharedIds;
-use flintwell_core::interface::NodeState;
+use flintwell_core::interface::{AttemptStatus, IncomingRequest, NodeState};
 
 fn dispatcher() -> Rc<Dispatcher> {
     dispatcher_with(None)
--- a/crates/flintwell/src/requests/mod.rs
+++ b/crates/flintwell/src/requests/mod.rs
@@ -4,7 +4,9 @@
 pub mod dispatcher;
 pub mod id_hash;
 pub mod open_ids;
+pub mod policy_host;
 pub mod request;
+pub mod request_handle;
 pub mod request_ids;
 pub mod service;
 pub mod shadow;
