Part the serving of a request into short steps

run() in request.rs was one function of 95 lines; Exchange carries out the policy's steps with a function for each.

--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -6,7 +6,7 @@
 use crate::log_request_line;
 use crate::management::metrics::Metrics;
 use crate::memory::plan::MemoryBudgets;
-use crate::nodes::attempt::{Attempt, AttemptService};
+use crate::nodes::attempt::{Attempt, AttemptService, NodeResponse};
 use crate::nodes::exchange_error::{ExchangeError, FailureCause};
 use crate::nodes::response_body::ResponseBody;
 use crate::process::clock::to_duration;
@@ -15,7 +15,7 @@
 use crate::requests::policy_host::Step;
 use crate::requests::request_handle::RequestHandle;
 use crate::requests::request_ids::{ClaimError, UNDETERMINED_RETRY_AFTER_US};
-use flintwell_core::interface::{AttemptStatus, Idempotency, Micros, NodeId};
+use flintwell_core::interface::{AttemptLimits, AttemptStatus, Idempotency, Micros, NodeId};
 use std::rc::Rc;
 use std::time::Instant;
 use tower::ServiceExt;
@@ -47,8 +47,17 @@
     let received_at = dispatcher.stall_detector.queued_since();
     let list_wait = (request.deadline(received_at) - dispatcher.clock.now()) / LIST_WAIT_DIVISOR;
     lease.wait_until_first_valid(to_duration(list_wait.min(MAX_LIST_WAIT_US))).await;
-    let mut response =
-        run(request, received_at, &mut handle, dispatcher, attempt_service, budgets, metrics).await;
+    let deadline = request.deadline(received_at);
+    let exchange = Exchange {
+        request: Rc::new(request),
+        handle: &mut handle,
+        dispatcher,
+        attempt_service,
+        budgets,
+        metrics,
+        deadline,
+    };
+    let mut response = exchange.run().await;
     metrics.record_latency(dispatcher.clock.now() - received_at);
     response.outcome().inspect(|&outcome| metrics.record_outcome(class, outcome));
     if let ClientResponse::Served(ResponseBody::Streamed(body)) = &mut response {
@@ -68,103 +77,130 @@
     }
 }
 
-async fn run(
-    request: ClientRequest,
-    received_at: Micros,
-    handle: &mut RequestHandle,
-    dispatcher: &Rc<Dispatcher>,
-    attempt_service: &AttemptService,
-    budgets: &MemoryBudgets,
-    metrics: &Metrics,
-) -> ClientResponse {
-    let request = Rc::new(request);
-    let deadline = request.deadline(received_at);
-    handle.submit(request.to_incoming(deadline));
-    loop {
-        match handle.next_step(deadline).await {
-            Some(Step::Attempt { node, limits }) => {
-                handle.attempt_started(&node);
-                dispatcher.catch_up_after_stall().await;
-                // The client may have closed its connection right after the request, or while the request was held.
-                // The HTTP server reports that only later, and the response to the attempt could not be delivered.
-                if request.client.has_disconnected() {
-                    return ClientResponse::ClientDisconnected;
-                }
-                let sent_at = dispatcher.clock.now();
-                let is_fetch = dispatcher.is_origin(&node);
-                let chosen_at = Instant::now();
-                let attempt = Attempt {
-                    request: request.clone(),
-                    node: node.clone(),
-                    timeout: limits.timeout,
-                    send_by: limits.send_by.map(|at| dispatcher.clock.instant_at(at).into_std()),
-                    chosen_at,
-                };
-                // Before it is sent: this task ends with its client's connection.
-                if let Err(error) = handle.mark_used() {
-                    return without_claim(&request, error);
-                }
-                let result = attempt_service.clone().oneshot(attempt).await;
-                let latency = dispatcher.clock.now() - sent_at;
-                // A request that the origin refused has cost it work, too.
-                let reached_node = result.as_ref().err().is_none_or(|error| !error.status().never_ran());
-                if is_fetch && reached_node {
-                    increment(&metrics.origin_attempts);
-                }
-                let status = result.as_ref().map_or_else(ExchangeError::status, |response| response.status);
-                metrics.record_attempt_end(status);
-                if status.never_ran() {
-                    handle.mark_unused();
-                }
-                if status != AttemptStatus::Served {
-                    log_attempt_end(&request, &node, status, latency, result.as_ref().err());
-                }
-                match result {
-                    Ok(response) => {
-                        if is_fetch && response.status == AttemptStatus::Full {
-                            increment(&metrics.origin_refusals);
-                        }
-                        handle.attempt_ended(response.status, latency, response.first_on_connection);
-                        if response.status == AttemptStatus::Served {
-                            let deadline = dispatcher.clock.instant_at(deadline).into_std();
-                            return pass_on(response.body, &request, deadline, budgets, metrics).await;
-                        }
-                    }
-                    Err(error) => {
-                        // A streamed body allows this one attempt only.
-                        if let Some(reason) = request.body.stream().and_then(|stream| stream.take_error()) {
-                            return ClientResponse::Malformed(reason);
-                        }
-                        if error.cause == FailureCause::ClientDisconnected {
-                            return ClientResponse::ClientDisconnected;
-                        }
-                        handle.attempt_ended(error.status(), latency, false);
+/// One request and what its attempts need.
+struct Exchange<'a> {
+    request: Rc<ClientRequest>,
+    handle: &'a mut RequestHandle,
+    dispatcher: &'a Rc<Dispatcher>,
+    attempt_service: &'a AttemptService,
+    budgets: &'a MemoryBudgets,
+    metrics: &'a Metrics,
+    deadline: Micros,
+}
+
+impl Exchange<'_> {
+    /// Carries out the policy's steps until one of them gives the response.
+    async fn run(mut self) -> ClientResponse {
+        self.handle.submit(self.request.to_incoming(self.deadline));
+        loop {
+            match self.handle.next_step(self.deadline).await {
+                Some(Step::Attempt { node, limits }) => {
+                    if let Some(response) = self.attempt(node, limits).await {
+                        return response;
                     }
                 }
+                Some(Step::Refuse { retry_after }) => return self.refuse(retry_after),
+                Some(Step::Fail) => return self.fail(),
+                // A request without a response by its deadline is lost. So it fails then, whatever the policy does; a
+                // failure makes no promise about the effect.
+                None => return self.fail_late(),
             }
-            Some(Step::Refuse { retry_after }) => {
-                log_request_line!(
-                    "request {} is refused, retry after {retry_after} us: {}",
-                    request.id,
-                    handle.end_reason()
-                );
-                return ClientResponse::Refused { retry_after };
-            }
-            // A request without a response by its deadline is lost. So it fails then, whatever the policy does; a
-            // failure makes no promise about the effect.
-            step @ (Some(Step::Fail) | None) => {
-                match step {
-                    Some(_) => log_request_line!(
-                        "request {} fails: no further attempt is allowed: {}",
-                        request.id,
-                        handle.end_reason()
-                    ),
-                    None => log_request_line!("request {} fails: its time is over", request.id),
-                }
-                return ClientResponse::Failed;
-            }
         }
     }
+
+    /// Attempts the request at a node. Returns the response if this was the last attempt.
+    async fn attempt(&mut self, node: NodeId, limits: AttemptLimits) -> Option<ClientResponse> {
+        self.handle.attempt_started(&node);
+        self.dispatcher.catch_up_after_stall().await;
+        // The client may have closed its connection right after the request, or while the request was held. The HTTP
+        // server reports that only later, and the response to the attempt could not be delivered.
+        if self.request.client.has_disconnected() {
+            return Some(ClientResponse::ClientDisconnected);
+        }
+        let sent_at = self.dispatcher.clock.now();
+        let attempt = Attempt {
+            request: self.request.clone(),
+            node: node.clone(),
+            timeout: limits.timeout,
+            send_by: limits.send_by.map(|at| self.dispatcher.clock.instant_at(at).into_std()),
+            chosen_at: Instant::now(),
+        };
+        let is_fetch = self.dispatcher.is_origin(&node);
+        // Before it is sent: this task ends with its client's connection.
+        if let Err(error) = self.handle.mark_used() {
+            return Some(without_claim(&self.request, error));
+        }
+        let result = self.attempt_service.clone().oneshot(attempt).await;
+        let latency = self.dispatcher.clock.now() - sent_at;
+        self.record_attempt(&node, is_fetch, latency, &result);
+        match result {
+            Ok(response) => self.finish_attempt(response, latency).await,
+            Err(error) => self.finish_failed_attempt(&error, latency),
+        }
+    }
+
+    fn record_attempt(
+        &self,
+        node: &NodeId,
+        is_fetch: bool,
+        latency: Micros,
+        result: &Result<NodeResponse, ExchangeError>,
+    ) {
+        let error = result.as_ref().err();
+        let status = result.as_ref().map_or_else(ExchangeError::status, |response| response.status);
+        self.metrics.record_attempt_end(status);
+        // A request that the origin refused has cost it work, too.
+        if is_fetch && error.is_none_or(|error| !error.status().never_ran()) {
+            increment(&self.metrics.origin_attempts);
+        }
+        if is_fetch && error.is_none() && status == AttemptStatus::Full {
+            increment(&self.metrics.origin_refusals);
+        }
+        if status.never_ran() {
+            self.handle.mark_unused();
+        }
+        if status != AttemptStatus::Served {
+            log_attempt_end(&self.request, node, status, latency, error);
+        }
+    }
+
+    async fn finish_attempt(&mut self, response: NodeResponse, latency: Micros) -> Option<ClientResponse> {
+        self.handle.attempt_ended(response.status, latency, response.first_on_connection);
+        if response.status != AttemptStatus::Served {
+            return None;
+        }
+        let deadline = self.dispatcher.clock.instant_at(self.deadline).into_std();
+        Some(pass_on(response.body, &self.request, deadline, self.budgets, self.metrics).await)
+    }
+
+    fn finish_failed_attempt(&mut self, error: &ExchangeError, latency: Micros) -> Option<ClientResponse> {
+        // A streamed body allows this one attempt only.
+        if let Some(reason) = self.request.body.stream().and_then(|stream| stream.take_error()) {
+            return Some(ClientResponse::Malformed(reason));
+        }
+        if error.cause == FailureCause::ClientDisconnected {
+            return Some(ClientResponse::ClientDisconnected);
+        }
+        self.handle.attempt_ended(error.status(), latency, false);
+        None
+    }
+
+    fn refuse(&self, retry_after: Micros) -> ClientResponse {
+        let (id, reason) = (&self.request.id, self.handle.end_reason());
+        log_request_line!("request {id} is refused, retry after {retry_after} us: {reason}");
+        ClientResponse::Refused { retry_after }
+    }
+
+    fn fail(&self) -> ClientResponse {
+        let (id, reason) = (&self.request.id, self.handle.end_reason());
+        log_request_line!("request {id} fails: no further attempt is allowed: {reason}");
+        ClientResponse::Failed
+    }
+
+    fn fail_late(&self) -> ClientResponse {
+        log_request_line!("request {} fails: its time is over", self.request.id);
+        ClientResponse::Failed
+    }
 }
 
 /// Passes a response on, if there is memory for a long one before it is too late to say that there is none.
