The time of a request counts from its arrival, not from the claim of its id

A request whose client had come from another process could be answered up to 50 ms late.

Change: the time is taken first. By reading; no test shows those 50 ms beside the slack of a process test.

--- a/crates/flintwell/src/requests/request.rs
+++ b/crates/flintwell/src/requests/request.rs
@@ -37,14 +37,14 @@
     let Some(mut handle) = dispatcher.open_handle(request.id.clone()) else {
         return ClientResponse::DuplicateId;
     };
+    // A request that arrives while the process is stalled is read late. Measured from the read, its response time would
+    // look too short and its deadline would be too late.
+    let received_at = dispatcher.stall_detector.queued_since();
     if let Err(error) = handle.claim_id(request.idempotency).await {
         let response = without_claim(&request, error);
         response.outcome().inspect(|&outcome| metrics.record_outcome(class, outcome));
         return response;
     }
-    // A request that arrives while the process is stalled is read late. Measured from the read, its response time would
-    // look too short and its deadline would be too late.
-    let received_at = dispatcher.stall_detector.queued_since();
     let list_wait = (request.deadline(received_at) - dispatcher.clock.now()) / LIST_WAIT_DIVISOR;
     lease.wait_until_first_valid(to_duration(list_wait.min(MAX_LIST_WAIT_US))).await;
     let deadline = request.deadline(received_at);
--- a/crates/flintwell/src/requests/request_ids/tests.rs
+++ b/crates/flintwell/src/requests/request_ids/tests.rs
@@ -1,6 +1,10 @@
 use super::*;
 use crate::process::store::Store;
 use crate::requests::shared_ids::MAX_FILES;
+use rand::RngCore;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::collections::HashMap;
 use std::path::Path;
 use tempfile::{TempDir, tempdir};
 
@@ -153,3 +157,159 @@
     drop(open);
     assert_eq!(claim(&new, "k", UNSAFE).await.err(), Some(ClaimError::Duplicate));
 }
+
+/// Processes of one proxy that start, share, serve and are killed in a drawn order, and what they have to keep.
+struct ProcessModel {
+    directory: TempDir,
+    clock: TestClock,
+    random: ChaCha8Rng,
+    started: usize,
+    /// The processes, with the claims that are open at each.
+    running: Vec<(String, Rc<RequestIds>, Vec<OpenRequest>)>,
+    /// When the request with an id may have run last.
+    ran_at: HashMap<String, Micros>,
+}
+
+struct OpenRequest {
+    id: String,
+    idempotency: Idempotency,
+    claim: IdClaim,
+}
+
+impl ProcessModel {
+    const MAX_PROCESSES: usize = 3;
+    const IDS: usize = 6;
+
+    fn new(seed: u64) -> Self {
+        ProcessModel {
+            directory: tempdir().expect("directory"),
+            clock: TestClock::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            started: 0,
+            running: Vec::new(),
+            ran_at: HashMap::new(),
+        }
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        self.random.next_u32() as usize % below
+    }
+
+    fn step(&mut self) {
+        match self.draw(20) {
+            0 => self.start_process(),
+            1 => self.kill_process(),
+            2 => self.pass_time(),
+            3..9 => self.claim(),
+            9..14 => self.send(),
+            14..17 => self.end(),
+            _ => self.poll(),
+        }
+    }
+
+    /// The other processes have shared before a new one serves, as at its start.
+    fn start_process(&mut self) {
+        if self.running.len() < Self::MAX_PROCESSES {
+            self.started += 1;
+            let name = format!("process-{}", self.started);
+            let ids = process(self.directory.path(), &self.clock, &name, &[]);
+            self.running.push((name, ids, Vec::new()));
+            self.poll();
+        }
+    }
+
+    /// Its locks are released, and what only its memory says is lost.
+    fn kill_process(&mut self) {
+        if !self.running.is_empty() {
+            let index = self.draw(self.running.len());
+            let (_, _, open) = self.running.swap_remove(index);
+            open.iter().for_each(|request| request.claim.may_have_run.set(false));
+            drop(open);
+            self.poll();
+        }
+    }
+
+    /// Processes look for others all the time.
+    fn pass_time(&mut self) {
+        self.clock.0.set(self.clock.0.get() + RETENTION_US / 3);
+        self.poll();
+    }
+
+    fn poll(&self) {
+        let names: Vec<String> = self.running.iter().map(|process| process.0.clone()).collect();
+        for (name, ids, _) in &self.running {
+            let siblings: Vec<String> = names.iter().filter(|sibling| *sibling != name).cloned().collect();
+            ids.update_siblings(&siblings, |_| true);
+        }
+    }
+
+    fn claim(&mut self) {
+        if self.running.is_empty() {
+            return;
+        }
+        let index = self.draw(self.running.len());
+        let idempotency = [Idempotency::Safe, Idempotency::Keyed, UNSAFE][self.draw(3)];
+        let id = format!("{idempotency:?}-{}", self.draw(Self::IDS));
+        let is_open = |open: &[OpenRequest]| open.iter().any(|request| request.id == id);
+        // Within a process the handles of requests prevent this.
+        if is_open(&self.running[index].2) {
+            return;
+        }
+        let is_open_elsewhere = self.running.iter().any(|process| is_open(&process.2));
+        let ran_at = self.ran_at.get(&id).filter(|_| idempotency == UNSAFE);
+        let has_run = ran_at.is_some_and(|at| self.clock.0.get() - at < RETENTION_US);
+        let result = self.running[index].1.try_claim(IdHash::of(&id.as_str().into()), idempotency);
+        match result {
+            Ok(claim) => {
+                assert!(!is_open_elsewhere, "{id} is open at one process at a time");
+                assert!(!has_run, "{id} may have run");
+                self.running[index].2.push(OpenRequest { id, idempotency, claim });
+            }
+            Err(_) => assert!(is_open_elsewhere || ran_at.is_some(), "{id} is served: nothing has run"),
+        }
+    }
+
+    fn drawn_request(&mut self) -> Option<(usize, usize)> {
+        let index = if self.running.is_empty() { return None } else { self.draw(self.running.len()) };
+        let count = self.running[index].2.len();
+        (count > 0).then(|| (index, self.draw(count)))
+    }
+
+    /// Sends a request, which runs or is known not to have run.
+    fn send(&mut self) {
+        let Some((index, number)) = self.drawn_request() else { return };
+        let runs = self.draw(2) == 0;
+        // Without another process a killed one leaves no record.
+        let is_recorded = self.running.len() > 1;
+        let request = &self.running[index].2[number];
+        if request.idempotency != UNSAFE || request.claim.may_have_run.get() || !is_recorded {
+            return;
+        }
+        request.claim.mark_used().expect("record");
+        if runs {
+            self.ran_at.insert(request.id.clone(), self.clock.0.get());
+        } else {
+            request.claim.mark_unused();
+        }
+    }
+
+    /// The request is answered, or its client is gone.
+    fn end(&mut self) {
+        let Some((index, number)) = self.drawn_request() else { return };
+        let is_recorded = self.running.len() > 1;
+        let request = self.running[index].2.swap_remove(number);
+        if request.claim.may_have_run.get() && is_recorded {
+            self.ran_at.insert(request.id, self.clock.0.get());
+        }
+    }
+}
+
+/// Guards the two rules of this module in drawn orders; `FLINTWELL_ID_ORDERS` asks for more of them.
+#[test]
+fn rules_on_ids_hold_in_drawn_orders_of_requests_and_processes() {
+    let orders = std::env::var("FLINTWELL_ID_ORDERS").ok().and_then(|orders| orders.parse().ok());
+    for seed in 0..orders.unwrap_or(300) {
+        let mut model = ProcessModel::new(seed);
+        (0..200).for_each(|_| model.step());
+    }
+}
